--- a/cmd/sliptide/main.go
+++ b/cmd/sliptide/main.go
@@ -39,6 +39,8 @@
 func run() error {
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	hup := make(chan os.Signal, 1) // or the run time would end the process on it
+	signal.Notify(hup, syscall.SIGHUP)
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -77,11 +79,15 @@
 		log.Warn().Err(err).Msg("known is of no use, waiting for discovery")
 	}
 	server := intake.New(&cfg.Settings, snd, sockets/2, log)
+	go reload(ctx, hup, log, func(addr string) {
+		watch.Move(addr)
+		notices.Move(addr)
+	})
 	go snd.Run()
 	go notices.Run(ctx)
 	go watch.Run(ctx)
 	go server.Serve(ln)
-	log.Info().Int("restored", len(restored)).Str("listen", cfg.Listen).Msg("started")
+	log.Info().Int("restored", len(restored)).Str("listen", cfg.Listen).Str("discovery", cfg.Discovery).Msg("started")
 
 	select {
 	case <-listed: // the list is at hand, and the journal is replayed
@@ -97,6 +103,25 @@
 	return nil
 }
 
+// reload reads the configuration again on each SIGHUP. Discovery may have moved; all
+// else takes effect at the next start. A file that makes no sense changes nothing.
+func reload(ctx context.Context, hup <-chan os.Signal, log zerolog.Logger, move func(discovery string)) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		cfg, err := config.Reload(os.Getenv)
+		if err != nil {
+			log.Error().Err(err).Msg("the new configuration is of no use, keeping the old")
+			continue
+		}
+		log.Info().Str("discovery", cfg.Discovery).Msg("configuration read again")
+		move(cfg.Discovery)
+	}
+}
+
 // shutdown stops taking on, answers clients while they still come, lets the calls
 // out end, and leaves the rest to the journal.
 func shutdown(server *intake.Server, snd *sender.Sender, ln net.Listener) {
--- a/cmd/sliptide/main_test.go
+++ b/cmd/sliptide/main_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"io/fs"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -436,6 +437,37 @@
 	}
 }
 
+// On SIGHUP the file is read again: the list and the notices come from and go to the
+// new discovery, though the old one still answers. A bad file changes nothing.
+func TestDiscoveryMoves(t *testing.T) {
+	r := newRig(t, nil)
+	if err := os.WriteFile(r.path, []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r.proc.Process.Signal(syscall.SIGHUP)
+	r.take("before", 0, 15, "")
+	type request struct{ method, path string }
+	asked := make(chan request, 100)
+	moved := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		asked <- request{q.Method, q.URL.Path}
+		r.serveDiscovery(w, q)
+	}))
+	t.Cleanup(moved.CloseClientConnections)
+	r.config["discovery"] = moved.Listener.Addr().String()
+	r.configure()
+	r.proc.Process.Signal(syscall.SIGHUP)
+	if q := next(t, asked, "the new discovery is asked"); q.path != "/discovery/hosts" {
+		t.Errorf("%+v", q)
+	}
+	r.discovery.Listener.Close()
+	r.change(func() { r.list = append(r.list, r.endpoint("s-new", "one", 0)) })
+	r.callFor("before").status(200)
+	r.take("ends", 0, 0.3, "")
+	r.notice()
+	for q := next(t, asked, "a notice there"); q.method != "POST"; q = next(t, asked, "a notice there") {
+	}
+}
+
 // A send that waits for its connection when its endpoint drains never happens, and
 // its message goes elsewhere at once.
 func TestDropsADialWhenItsEndpointDrains(t *testing.T) {
--- a/cmd/sliptide/rig_test.go
+++ b/cmd/sliptide/rig_test.go
@@ -96,6 +96,7 @@
 	notices   chan notice
 	watches   chan string // the query of each call for the list
 	addr      string
+	path      string // of the configuration
 	state     string
 	config    map[string]any
 	proc      *exec.Cmd
@@ -117,7 +118,7 @@
 	t.Helper()
 	t.Parallel()
 	r := &rig{t: t, calls: make(chan *call, 100), notices: make(chan notice, 100), watches: make(chan string, 1000),
-		state: t.TempDir(), changed: make(chan struct{}), version: 1, list: []endpoint{}}
+		state: t.TempDir(), path: filepath.Join(t.TempDir(), "config.json"), changed: make(chan struct{}), version: 1, list: []endpoint{}}
 	r.discovery = httptest.NewServer(http.HandlerFunc(r.serveDiscovery))
 	t.Cleanup(r.discovery.Close)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -243,19 +244,25 @@
 	r.changed = make(chan struct{})
 }
 
-// start starts the program and waits until it is ready.
-func (r *rig) start() {
+// configure writes the configuration file.
+func (r *rig) configure() {
 	r.t.Helper()
 	text, err := json.Marshal(r.config)
-	if err != nil {
-		r.t.Fatal(err)
+	if err == nil {
+		err = os.WriteFile(r.path, text, 0o600)
 	}
-	path := filepath.Join(r.t.TempDir(), "config.json")
-	if err := os.WriteFile(path, text, 0o600); err != nil {
+	if err != nil {
 		r.t.Fatal(err)
 	}
+}
+
+// start starts the program and waits until it is ready.
+func (r *rig) start() {
+	r.t.Helper()
+	r.configure()
 	r.proc = exec.Command(binary)
-	r.proc.Env = append(os.Environ(), "RELAY_CONFIG="+path, "RELAY_STATE="+r.state)
+	r.proc.Env = append(os.Environ(), "RELAY_CONFIG="+r.path, "RELAY_STATE="+r.state,
+		fmt.Sprint("RELAY_DISCOVERY=", r.config["discovery"]))
 	r.proc.Stderr = &r.logs
 	if err := r.proc.Start(); err != nil {
 		r.t.Fatal(err)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -36,6 +36,14 @@
 // Load reads the file that RELAY_CONFIG names; the other variables go before
 // what it says.
 func Load(getenv func(string) string) (*Config, error) {
+	return load(getenv, getenv("RELAY_DISCOVERY"))
+}
+
+// Reload reads the file again after it was replaced. RELAY_DISCOVERY is as old as the
+// process, so the file goes before it: else a new address would never be seen.
+func Reload(getenv func(string) string) (*Config, error) { return load(getenv, "") }
+
+func load(getenv func(string) string, discovery string) (*Config, error) {
 	path := getenv("RELAY_CONFIG")
 	if path == "" {
 		return nil, fmt.Errorf("RELAY_CONFIG is not set")
@@ -48,11 +56,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	for name, to := range map[string]*string{
-		"RELAY_NAME": &c.Name, "RELAY_LISTEN": &c.Listen, "RELAY_DISCOVERY": &c.Discovery, "RELAY_STATE": &c.State,
+	for _, f := range []struct {
+		value string
+		to    *string
+	}{
+		{getenv("RELAY_NAME"), &c.Name}, {getenv("RELAY_LISTEN"), &c.Listen},
+		{getenv("RELAY_STATE"), &c.State}, {discovery, &c.Discovery},
 	} {
-		if v := getenv(name); v != "" {
-			*to = v
+		if f.value != "" {
+			*f.to = f.value
 		}
 	}
 	return c, c.check()
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"sliptide/internal/http1"
@@ -14,14 +15,51 @@
 
 // client is one connection to the agent, opened at need.
 type client struct {
-	addr string
-	nc   net.Conn
-	rd   *http1.Reader
+	nc net.Conn
+	at string // where nc leads
+	rd *http1.Reader
+
+	mu        sync.Mutex
+	addr      string
+	interrupt context.CancelFunc // ends the call that is out; nil: none has been made
+}
+
+func newClient(addr string) *client { return &client{addr: addr} }
+
+// host is the agent's address.
+func (c *client) host() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.addr
+}
+
+// move makes all further calls go to another address. The one that is out ends: the
+// old agent takes no new connection and may hold a watch for long that tells nothing more.
+func (c *client) move(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if addr == c.addr {
+		return
+	}
+	c.addr = addr
+	if c.interrupt != nil {
+		c.interrupt()
+	}
 }
 
 // do makes one call. After an error the connection is closed: the agent may be
 // silent for long, and a late answer must not be taken for that to a later call.
 func (c *client) do(ctx context.Context, request []byte, timeout time.Duration) (*http1.Message, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c.mu.Lock()
+	addr := c.addr
+	c.interrupt = cancel
+	c.mu.Unlock()
+	if addr != c.at {
+		c.close()
+		c.at = addr
+	}
 	m, err := c.try(ctx, request, timeout)
 	if err != nil || m.Close {
 		c.close()
@@ -32,7 +70,7 @@
 func (c *client) try(ctx context.Context, request []byte, timeout time.Duration) (*http1.Message, error) {
 	if c.nc == nil {
 		d := net.Dialer{Timeout: dialTimeout}
-		nc, err := d.DialContext(ctx, "tcp", c.addr)
+		nc, err := d.DialContext(ctx, "tcp", c.at)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/discovery/notices.go
+++ b/internal/discovery/notices.go
@@ -27,7 +27,7 @@
 
 // Notices hands in notices, each until it is taken.
 type Notices struct {
-	agent client
+	agent *client
 	log   zerolog.Logger
 	told  func([]uint64) // takes the numbers of the messages whose notice was taken
 
@@ -38,9 +38,12 @@
 
 // NewNotices returns a Notices that posts to the agent at addr.
 func NewNotices(addr string, log zerolog.Logger, told func([]uint64)) *Notices {
-	return &Notices{agent: client{addr: addr}, log: log, told: told, wake: make(chan struct{}, 1)}
+	return &Notices{agent: newClient(addr), log: log, told: told, wake: make(chan struct{}, 1)}
 }
 
+// Move makes all notices from now on go to the agent at addr.
+func (n *Notices) Move(addr string) { n.agent.move(addr) }
+
 // Post queues a notice. It does not block.
 func (n *Notices) Post(notice Notice) {
 	n.mu.Lock()
@@ -106,7 +109,7 @@
 	for i := range batch {
 		body = batch[i].append(body)
 	}
-	request := http1.AppendRequest(nil, "POST", "/v1/outcomes", n.agent.addr)
+	request := http1.AppendRequest(nil, "POST", "/v1/outcomes", n.agent.host())
 	m, err := n.agent.do(ctx, http1.AppendBody(request, body), noticeTimeout)
 	if err != nil {
 		return err
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -41,7 +41,7 @@
 	Log      zerolog.Logger
 	Update   func(List)
 
-	agent   client
+	agent   *client
 	parser  fastjson.Parser
 	ids     map[string]uint32 // an endpoint keeps its number as long as the process runs
 	version uint64
@@ -50,9 +50,13 @@
 
 // NewWatch returns a Watch on the agent at addr.
 func NewWatch(addr string, set *policy.Settings, log zerolog.Logger, update func(List)) *Watch {
-	return &Watch{Settings: set, Log: log, Update: update, agent: client{addr: addr}, ids: map[string]uint32{}}
+	return &Watch{Settings: set, Log: log, Update: update, agent: newClient(addr), ids: map[string]uint32{}}
 }
 
+// Move makes the watch follow the agent at addr, beginning with its whole list: its
+// versions need not be the old one's.
+func (w *Watch) Move(addr string) { w.agent.move(addr) }
+
 // Known takes the list as it was last had, before Run.
 func (w *Watch) Known(text []byte) error {
 	if len(text) == 0 {
@@ -91,7 +95,7 @@
 		path = fmt.Sprintf("%s?index=%d&wait=%d", path, w.version, watchFor.Milliseconds())
 		timeout = watchFor + watchGrace
 	}
-	request := append(http1.AppendRequest(nil, "GET", path, w.agent.addr), "\r\n"...)
+	request := append(http1.AppendRequest(nil, "GET", path, w.agent.host()), "\r\n"...)
 	m, err := w.agent.do(ctx, request, timeout)
 	if err != nil {
 		return err
