End spoilt answers and bad clients in time; never let another's id withdraw a message

Causes, each checked by a test that fails on the old lines: - Lost: sender.go takeOrder answered an id that it held as taken, with the first one's number; intake.go unheard then withdrew the first when the second client left (TestAnothersID: the message is never sent). Now 409, also for ids that are over. No other path drops a message without attempts. - Slots: http1.go read a 1xx answer without a length to the end of the connection; head() waited for a line end in noise, and outbound.go for the rest of a spoilt answer until the call's own time-out (2.5 s at least). Now 400 ms from its first byte; it counts as an error, not as a break or silence, so that neither time-outs stretch nor idle connections are doubted for it. - Reports: answer.go kept the readable half of a report. - Bad clients: destinations were not checked against the list; a new connection could say nothing for 2 min and half a request stand for 5 s (an end is owed within 3 s); only connections idle for 1 s made room. - The blank line that ends a head was looked for as CRLF first, then LF: one could hide the other.

Ruled out: CPU (0.09 s in the worst second), memory (11 MB of 64).

--- a/cmd/sliptide/main.go
+++ b/cmd/sliptide/main.go
@@ -63,8 +63,9 @@
 	var snd *sender.Sender
 	notices := discovery.NewNotices(cfg.Discovery, log, func(nums []uint64) { snd.Told(nums) })
 	sockets := cfg.Limits.Sockets - spareFiles
+	calls := sockets * 2 / 5 // the rest is for clients: many may hold a connection and say nothing
 	snd = sender.New(sender.Options{
-		Settings: cfg.Settings, Seed: cfg.Seed, Sockets: sockets / 2,
+		Settings: cfg.Settings, Seed: cfg.Seed, Sockets: calls,
 		Journal: jr, Restored: restored, Notices: notices.Post, Log: log,
 	})
 	listed := make(chan struct{}, 1)
@@ -78,7 +79,7 @@
 	if err := watch.Known(cfg.Known); err != nil {
 		log.Warn().Err(err).Msg("known is of no use, waiting for discovery")
 	}
-	server := intake.New(&cfg.Settings, snd, sockets/2, log)
+	server := intake.New(&cfg.Settings, snd, sockets-calls, log)
 	go reload(ctx, hup, log, func(addr string) {
 		watch.Move(addr)
 		notices.Move(addr)
--- a/cmd/sliptide/main_test.go
+++ b/cmd/sliptide/main_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"io/fs"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -377,26 +378,30 @@
 	head := "POST /api HTTP/1.1\r\nX-Trace-Id: x\r\nX-Qos: note\r\nX-Customer: acme\r\nIdempotency-Key: k\r\nX-Expires-In: 5\r\nX-Route-To: dest=0\r\n"
 	with := func(old, new string) string { return strings.Replace(head, old, new, 1) + "Content-Length: 0\r\n\r\n" }
 	for text, want := range map[string]string{
-		"\x16\x03\x01\x00\r\n\r\n":                         "400",
-		"GET /up\r\n\r\n":                                  "400",
-		"GET /up HTTP/1.1\r\nno colon\r\n\r\n":             "400",
-		head + "Content-Length: 5x\r\n\r\n":                "400",
-		head + "Content-Length: -5\r\n\r\n":                "400",
-		head + "X: " + strings.Repeat("x", 9000):           "400",
-		head + "Content-Length: 65537\r\n\r\n":             "413",
-		head + "\r\n":                                      "411",
-		head + "Transfer-Encoding: chunked\r\n\r\n0\r\n":   "411",
-		head + "Content-Length: 9\r\n\r\nhalf":             "408",
-		"GET /nowhere HTTP/1.1\r\n\r\n":                    "404",
-		"GET /api HTTP/1.1\r\n\r\n":                        "405",
-		"DELETE /up HTTP/1.1\r\nContent-Length: 0\r\n\r\n": "405",
-		with("X-Qos: note", "X-Qos: other"):                "400",
-		with("acme", "other"):                              "400",
-		with("X-Trace-Id: x\r\n", ""):                      "400",
-		with("Idempotency-Key: k\r\n", ""):                 "400",
-		with("X-Expires-In: 5", "X-Expires-In: NaN"):       "400",
-		with("X-Expires-In: 5", "X-Expires-In: -1"):        "400",
-		with("dest=0", "dest=x"):                           "400",
+		"\x16\x03\x01\x00\r\n\r\n":                           "400",
+		"GET /up\r\n\r\n":                                    "400",
+		"GET /up HTTP/1.1\r\nno colon\r\n\r\n":               "400",
+		head + "Content-Length: 5x\r\n\r\n":                  "400",
+		head + "Content-Length: -5\r\n\r\n":                  "400",
+		head + "X: " + strings.Repeat("x", 9000):             "400",
+		head + "Content-Length: 65537\r\n\r\n":               "413",
+		head + "\r\n":                                        "411",
+		head + "Transfer-Encoding: chunked\r\n\r\n0\r\n":     "411",
+		head + "Content-Length: 9\r\n\r\nhalf":               "408",
+		"GET /nowhere HTTP/1.1\r\n\r\n":                      "404",
+		"GET /api HTTP/1.1\r\n\r\n":                          "405",
+		"DELETE /up HTTP/1.1\r\nContent-Length: 0\r\n\r\n":   "405",
+		with("X-Qos: note", "X-Qos: other"):                  "400",
+		with("acme", "other"):                                "400",
+		with("X-Trace-Id: x\r\n", ""):                        "400",
+		with("Idempotency-Key: k\r\n", ""):                   "400",
+		with("X-Expires-In: 5", "X-Expires-In: NaN"):         "400",
+		with("X-Expires-In: 5", "X-Expires-In: -1"):          "400",
+		with("dest=0", "dest=x"):                             "400",
+		with("X-Expires-In: 5", "X-Expires-In: 0x10"):        "400",
+		with("X-Expires-In: 5", "X-Expires-In: inf"):         "400",
+		with("dest=0", "dest=70000"):                         "503", // not listed: it would be held until its time is up
+		with("x\r\n", "x\r\nTransfer-Encoding: chunked\r\n"): "400", // may hide another in its body
 	} {
 		if got := r.raw(text); !strings.HasPrefix(got, "HTTP/1.1 "+want+" ") {
 			t.Errorf("%.80q: %s, want %s", text, got, want)
@@ -406,6 +411,67 @@
 	r.callFor("fine").status(200)
 }
 
+// A request with the id of a message that the sender has taken on is turned away, and its
+// client's leaving withdraws nothing: not while the first is held, nor once it is over.
+func TestAnothersID(t *testing.T) {
+	r := newRig(t, nil)
+	r.take("m", 0, 15, "its own body")
+	for _, over := range []bool{false, true} {
+		nc, err := net.Dial("tcp", r.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(nc, "POST /api HTTP/1.1\r\nX-Trace-Id: m\r\nX-Qos: note\r\nX-Customer: acme\r\nIdempotency-Key: k\r\n"+
+			"X-Expires-In: 5\r\nX-Route-To: dest=0\r\nContent-Length: 0\r\n\r\n")
+		nc.(*net.TCPConn).SetLinger(0)
+		nc.Close() // a reset: the answer is not heard
+		if resp := r.handIn("m", 0, 15, "another body"); resp.StatusCode != 409 {
+			t.Errorf("over: %v: %s", over, resp.Status)
+		}
+		if !over {
+			r.change(func() { r.list = append(r.list, r.endpoint("s-new", "one", 0)) })
+			c := r.callFor("m")
+			if string(c.body) != "its own body" {
+				t.Errorf("body %q", c.body)
+			}
+			c.status(200)
+			r.take("after", 0, 15, "") // by now the sender has seen the answer
+			r.callFor("after").status(200)
+		}
+	}
+	r.noCall()
+}
+
+// Connections that say nothing or only half of a request get their end soon, and hold no
+// place that others need, however many there are.
+func TestSilentClients(t *testing.T) {
+	r := newRig(t, func(_, limits map[string]any) { limits["sockets"] = 64 }, "one")
+	begin := time.Now()
+	ends := make(chan string, 200)
+	for i := range cap(ends) {
+		nc, err := net.Dial("tcp", r.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+		if i%2 == 0 {
+			io.WriteString(nc, "POST /api HTTP/1.1\r\nX-Trace-Id: half")
+		}
+		go func() {
+			b, _ := io.ReadAll(nc)
+			ends <- string(b)
+		}()
+	}
+	r.take("m", 0, 15, "")
+	r.callFor("m").status(200)
+	for range cap(ends) {
+		next(t, ends, "the end of a connection")
+	}
+	if took := time.Since(begin); took > 6*time.Second {
+		t.Errorf("the last one was closed after %v", took)
+	}
+}
+
 // The list is followed: by a watch that is renewed soon, through silence, and a
 // message goes only where its destination is listed as up.
 func TestFollowsTheList(t *testing.T) {
--- a/cmd/sliptide/rig_test.go
+++ b/cmd/sliptide/rig_test.go
@@ -130,6 +130,9 @@
 	for i, kind := range kinds {
 		r.list = append(r.list, r.endpoint(fmt.Sprintf("s-%d", i), kind, i))
 	}
+	for _, cell := range []int{0, 7, 9} { // listed destinations with nowhere to go, or nowhere else
+		r.list = append(r.list, endpoint{ID: fmt.Sprint("drains-", cell), Addr: "127.0.0.1:9", Zone: "a", Kind: "one", Cell: cell, State: "draining"})
+	}
 	settings := map[string]any{
 		"areas": []string{"a"}, "kinds": []string{"one", "bulk"}, "balancers": 1, "round": 1,
 		"family_info": map[string]any{"call_slots": 20, "kind_batch": []int{1, 5}, "own_limits": []bool{false, false}, "loses_worth": "halves"},
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -138,6 +138,10 @@
 	}
 	n := m.length
 	switch {
+	case !request && m.Status == 101:
+		return ErrMalformed // nothing was asked to change
+	case !request && m.Status < 200:
+		n = 0 // never has a body: reading to the end would wait for the real answer, and beyond
 	case n > MaxBody:
 		return ErrTooLarge
 	case m.chunked && request:
@@ -192,15 +196,15 @@
 			b, err = r.br.Peek(r.br.Buffered())
 		}
 		if !request && m.Status == 0 {
+			if !bytes.HasPrefix(b, statusStart[:min(len(b), len(statusStart))]) {
+				return nil, ErrMalformed // noise: its sender may add nothing more, nor close
+			}
 			if i := bytes.IndexByte(b, '\n'); i >= 0 && m.statusLine(trimCR(b[:i])) != nil {
 				return nil, ErrMalformed
 			}
 		}
-		if i := bytes.Index(b, []byte("\r\n\r\n")); i >= 0 {
-			return b[:i+4], nil
-		}
-		if i := bytes.Index(b, []byte("\n\n")); i >= 0 {
-			return b[:i+2], nil
+		if n := headEnd(b); n > 0 {
+			return b[:n], nil
 		}
 		if err != nil {
 			if len(b) == 0 {
@@ -215,6 +219,25 @@
 	}
 }
 
+var statusStart = []byte("HTTP/1.")
+
+// headEnd is where the first blank line of b ends, however lines end; 0: there is none.
+// Whoever looks for one kind of line end first lets a head hide another.
+func headEnd(b []byte) int {
+	for at := 0; ; {
+		i := bytes.IndexByte(b[at:], '\n')
+		if i < 0 {
+			return 0
+		}
+		if at += i + 1; at < len(b) && b[at] == '\n' {
+			return at + 1
+		}
+		if at+1 < len(b) && b[at] == '\r' && b[at+1] == '\n' {
+			return at + 2
+		}
+	}
+}
+
 // chunks reads a chunked body behind the head of a response.
 func (r *Reader) chunks(head int) error {
 	r.br.Discard(head)
@@ -445,7 +468,7 @@
 
 var reasons = map[int]string{
 	200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
-	405: "Method Not Allowed", 408: "Request Timeout", 411: "Length Required",
+	405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 411: "Length Required",
 	413: "Content Too Large", 429: "Too Many Requests", 500: "Internal Server Error",
 	503: "Service Unavailable",
 }
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -24,7 +24,9 @@
 		"HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n":                                                {200, "", ErrTooLarge},
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7fffffff\r\n":                               {200, "", ErrTooLarge},
 		"HTTP/1.1 2x0 OK\r\n\r\n":                                                                         {0, "", ErrMalformed},
-		"":                                                                                                {0, "", io.EOF},
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n":                                                {100, "", nil},
+		"noise": {0, "", ErrMalformed},
+		"":      {0, "", io.EOF},
 	} {
 		for name, src := range map[string]io.Reader{"whole": strings.NewReader(text), "by bytes": iotest.OneByteReader(strings.NewReader(text))} {
 			m, err := NewReader(src).Response()
--- a/internal/intake/api.go
+++ b/internal/intake/api.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"math"
 	"strconv"
 	"time"
 
@@ -49,10 +48,15 @@
 		return response{status: 400, text: wrong}
 	}
 	v := s.snd.Take(&msg, received)
-	if !v.Taken {
-		return response{status: refuseBusy, retry: v.RetryAfter}
+	switch {
+	case v.Taken:
+		return response{status: 202, num: v.Num}
+	case v.Known: // no number: what becomes of this answer says nothing of who handed it in first
+		return response{status: 409, text: "X-Trace-Id was taken on before"}
+	case v.NoRoute: // the list may be late: to come again does no harm
+		return response{status: 503, retry: v.RetryAfter, text: "no such destination is listed"}
 	}
-	return response{status: 202, num: v.Num}
+	return response{status: refuseBusy, retry: v.RetryAfter}
 }
 
 // message reads a message from a request; wrong says what is missing or makes no sense.
@@ -72,8 +76,8 @@
 	if !fits(msg.Key) || keyed && len(msg.Key) == 0 {
 		return msg, "Idempotency-Key"
 	}
-	left, err := strconv.ParseFloat(string(h.Get("X-Expires-In")), 64)
-	if err != nil || math.IsNaN(left) || left <= 0 || left > maxLeft {
+	left, ok := seconds(h.Get("X-Expires-In"))
+	if !ok || left <= 0 || left > maxLeft {
 		return msg, "X-Expires-In"
 	}
 	msg.Left = time.Duration(left * float64(time.Second))
@@ -84,6 +88,18 @@
 	return msg, ""
 }
 
+// seconds reads plain decimal seconds. ParseFloat alone would also take hexadecimal,
+// exponents and infinity, which no client means.
+func seconds(b []byte) (float64, bool) {
+	for _, c := range b {
+		if (c < '0' || c > '9') && c != '.' {
+			return 0, false
+		}
+	}
+	f, err := strconv.ParseFloat(string(b), 64)
+	return f, err == nil
+}
+
 // fits reports whether an id or key can be passed on as it is.
 func fits(b []byte) bool { return len(b) <= maxID && http1.Clean(b) }
 
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -3,10 +3,12 @@
 package intake
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,14 +21,18 @@
 )
 
 const (
-	idleFor     = 2 * time.Minute // a connection between requests
-	idleLeast   = time.Second     // one may be closed for want of room after this
-	readFor     = 5 * time.Second // a request, from its first byte
-	writeFor    = time.Second     // an answer
+	idleFor     = 30 * time.Second        // a connection between requests
+	idleLeast   = 2 * time.Second         // one may be closed for want of room after this
+	firstFor    = 2 * time.Second         // a new one says nothing for so long
+	firstLeast  = 30 * time.Millisecond   // and may be closed for want of room after this: clients write at once
+	firstWhole  = 2500 * time.Millisecond // its first request is there by then; an answer is owed within 3 s
+	readFor     = 2 * time.Second         // a later request, from its first byte
+	writeFor    = time.Second             // an answer
 	lastLook    = 10 * time.Millisecond
 	lingerFor   = 200 * time.Millisecond
 	patience    = 400 * time.Millisecond // how long a client waits for its answer
 	acceptPause = 5 * time.Millisecond
+	victims     = 32 // connections that are asked to close at a time, for want of room
 )
 
 // Server accepts clients' connections.
@@ -43,14 +49,25 @@
 	conns map[*client]bool
 }
 
+// The states of a connection, in the order in which it may be closed for want of room.
+const (
+	silent  = iota // nothing has come yet
+	idle           // between requests
+	reading        // a request arrives
+	serving        // it is being answered
+)
+
 // client is one connection.
 type client struct {
 	nc    net.Conn
 	rd    *http1.Reader
 	out   []byte
-	mu    sync.Mutex // over the two below and the read deadline
-	since time.Time  // when it fell idle; zero = busy
-	asked bool       // to close, if nothing is on its way
+	begun time.Time
+	first bool       // it has had no request yet
+	mu    sync.Mutex // over the three below and the read deadline
+	state int
+	since time.Time // of its state
+	asked bool      // to close, if nothing is on its way
 }
 
 // New returns a Server with room for that many connections.
@@ -75,7 +92,7 @@
 			time.Sleep(acceptPause) // out of descriptors: some will be free again
 			continue
 		}
-		c := &client{nc: nc, rd: http1.NewReader(nc)}
+		c := &client{nc: nc, rd: http1.NewReader(nc), begun: time.Now(), first: true}
 		s.mu.Lock()
 		s.conns[c] = true
 		s.mu.Unlock()
@@ -84,34 +101,51 @@
 	}
 }
 
-// makeRoom takes a place for one more connection; where all are taken it closes
-// idle ones, so that no client can hold them all.
+// makeRoom takes a place for one more connection; where all are taken it closes those
+// that need theirs least, so that no client can hold them all.
 func (s *Server) makeRoom() {
 	for {
 		select {
 		case s.room <- struct{}{}:
 			return
 		case <-time.After(acceptPause):
-			s.closeIdle(idleLeast)
+			s.relieve()
 		}
 	}
 }
 
-// closeIdle ends connections that have stood between requests for that long.
-func (s *Server) closeIdle(least time.Duration) {
+// relieve asks some connections to close: first those that have never said a word, then
+// idle ones, then those whose request takes longer to arrive than its client waits.
+func (s *Server) relieve() {
+	least := [...]time.Duration{silent: firstLeast, idle: idleLeast, reading: patience}
+	type candidate struct {
+		c     *client
+		state int
+		since time.Time
+	}
+	var list []candidate
+	now := time.Now()
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	for c := range s.conns {
-		c.askToClose(least)
+		c.mu.Lock()
+		if c.state != serving && !c.asked && now.Sub(c.since) >= least[c.state] {
+			list = append(list, candidate{c, c.state, c.since})
+		}
+		c.mu.Unlock()
+	}
+	s.mu.Unlock()
+	slices.SortFunc(list, func(a, b candidate) int { return cmp.Or(a.state-b.state, a.since.Compare(b.since)) })
+	for _, v := range list[:min(len(list), victims)] {
+		v.c.askToClose(v.state, least[v.state])
 	}
 }
 
-// askToClose wakes a connection that has been idle for that long. Under the lock,
+// askToClose wakes a connection that has been in that state for so long. Under the lock,
 // or the deadline could hit a request that has just begun to arrive.
-func (c *client) askToClose(least time.Duration) {
+func (c *client) askToClose(state int, least time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.asked && !c.since.IsZero() && time.Since(c.since) >= least {
+	if !c.asked && c.state == state && time.Since(c.since) >= least {
 		c.asked = true
 		c.nc.SetReadDeadline(time.Unix(1, 0))
 	}
@@ -120,21 +154,30 @@
 // wait returns when a request begins to arrive. One that arrives just as the
 // connection is asked to close is still served.
 func (c *client) wait() error {
-	c.idle(time.Now(), idleFor)
+	if c.first {
+		c.enter(silent, c.begun.Add(firstFor))
+	} else {
+		c.enter(idle, time.Now().Add(idleFor))
+	}
 	err := c.rd.Wait()
 	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) {
 		c.nc.SetReadDeadline(time.Now().Add(lastLook))
 		err = c.rd.Wait()
 	}
-	c.idle(time.Time{}, readFor)
+	if c.first {
+		c.enter(reading, c.begun.Add(firstWhole))
+	} else {
+		c.enter(reading, time.Now().Add(readFor))
+	}
 	return err
 }
 
-func (c *client) idle(since time.Time, limit time.Duration) {
+// enter changes the connection's state, in which it may read until the deadline.
+func (c *client) enter(state int, deadline time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.since, c.asked = since, false
-	c.nc.SetReadDeadline(time.Now().Add(limit))
+	c.state, c.since, c.asked = state, time.Now(), false
+	c.nc.SetReadDeadline(deadline)
 }
 
 // Refuse makes the server answer 503 to all that is handed in from now on.
@@ -146,7 +189,12 @@
 	done := make(chan struct{})
 	go func() { s.wg.Wait(); close(done) }()
 	for {
-		s.closeIdle(0)
+		s.mu.Lock()
+		for c := range s.conns {
+			c.askToClose(silent, 0)
+			c.askToClose(idle, 0)
+		}
+		s.mu.Unlock()
 		select {
 		case <-done:
 			return
@@ -177,6 +225,8 @@
 	}
 	m, err := c.rd.Request()
 	received := time.Now()
+	c.enter(serving, time.Time{})
+	c.first = false
 	if err != nil {
 		return s.bad(c, err)
 	}
--- a/internal/outbound/answer.go
+++ b/internal/outbound/answer.go
@@ -47,7 +47,8 @@
 	return a
 }
 
-// report reads the values of a load report into the settings' positions.
+// report reads the values of a load report into the settings' positions. One of which
+// any part makes no sense is no report: half of it could hold a whole destination back.
 func (p *Pool) report(v []byte) []float64 {
 	if len(v) == 0 || max(p.opt.X0, p.opt.X1) < 0 {
 		return nil
@@ -57,8 +58,8 @@
 	for _, pair := range bytes.Split(v, []byte(",")) {
 		name, text, _ := bytes.Cut(bytes.TrimSpace(pair), []byte("="))
 		f, err := strconv.ParseFloat(string(text), 64)
-		if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
-			continue
+		if err != nil || !(f >= 0 && f < reportMost) {
+			return nil
 		}
 		switch {
 		case string(name) == "x0" && p.opt.X0 >= 0:
@@ -70,6 +71,9 @@
 	return out
 }
 
+// reportMost bounds a report's values.
+const reportMost = 1e7
+
 // states are the ends of one message in the answer to a bulk call.
 var states = map[string]answer{
 	"accepted": {outcome: policy.OK},
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -23,6 +23,13 @@
 // one costs new connections to partners that are seldom called.
 const idleMargin = 500 * time.Millisecond
 
+// restWithin bounds the time from an answer's first byte to its last. One that has begun and does
+// not go on is spoilt; waiting for the call's own time-out would hold its slot for seconds.
+const restWithin = 400 * time.Millisecond
+
+// interimMost bounds the 1xx answers ahead of the real one.
+const interimMost = 8
+
 // Item is one message of a call.
 type Item struct {
 	ID         uint64
@@ -268,10 +275,7 @@
 		}
 		return false
 	}
-	m, err := k.rd.Response()
-	for err == nil && m.Status < 200 {
-		m, err = k.rd.Response()
-	}
+	m, err := k.response(deadline)
 	more := err == nil && !m.Close && !k.rd.Buffered()
 	events := k.read(c, m, err)
 	// Both before it is reported: a further attempt must not find this one open, and a call
@@ -285,13 +289,39 @@
 	return more
 }
 
+// response reads the real answer. What begins before the deadline and is no answer is errSpoilt.
+func (k *conn) response(deadline time.Time) (*http1.Message, error) {
+	for range interimMost {
+		k.nc.SetReadDeadline(deadline)
+		if err := k.rd.Wait(); err != nil {
+			return &http1.Message{}, err
+		}
+		if rest := time.Now().Add(restWithin); rest.Before(deadline) {
+			k.nc.SetReadDeadline(rest)
+		}
+		m, err := k.rd.Response()
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, http1.ErrMalformed), errors.Is(err, http1.ErrTooLarge):
+			return m, errSpoilt
+		case err != nil || m.Status >= 200:
+			return m, err
+		}
+	}
+	return &http1.Message{}, errSpoilt
+}
+
+var errSpoilt = errors.New("answer that cannot be read")
+
 // read turns an answer, or the lack of one, into the call's events.
 func (k *conn) read(c *Call, m *http1.Message, err error) []policy.Event {
 	single := len(c.Items) <= 1
 	if err != nil && !(single && m.Status == 200) {
 		o := policy.Reset
-		if errors.Is(err, os.ErrDeadlineExceeded) {
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
 			o = policy.Timeout
+		case errors.Is(err, errSpoilt):
+			o = policy.Error // the endpoint and the connection were there: neither a break nor silence
 		}
 		return c.events(answer{outcome: o})
 	}
--- a/internal/outbound/outbound_test.go
+++ b/internal/outbound/outbound_test.go
@@ -68,6 +68,46 @@
 	}
 }
 
+// An answer that cannot be read ends its call at once, as an error that may have run (a
+// single 200 is true whatever follows), and no later call hears the rest of it.
+func TestSpoiltAnswers(t *testing.T) {
+	ok := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	for name, row := range map[string]struct {
+		answer  string
+		outcome policy.Outcome
+		conn    int // of the next call
+	}{
+		"noise":                {"\x00\x07\xffnoise", policy.Error, 2},
+		"head without end":     {"HTTP/1.1 500 No\r\nX: y", policy.Error, 2},
+		"a true 200":           {"HTTP/1.1 200 OK\r\nX: y", policy.OK, 2},
+		"3 GB":                 {"HTTP/1.1 503 No\r\nContent-Length: 3000000000\r\n\r\nx", policy.Error, 2},
+		"short of its length":  {"HTTP/1.1 429 No\r\nRetry-After: 9\r\nContent-Length: 50\r\n\r\nx", policy.Error, 2},
+		"answers ahead":        {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nLink: x\r\n\r\n" + ok, policy.OK, 1},
+		"a protocol unasked":   {"HTTP/1.1 101 Switching Protocols\r\n\r\n", policy.Error, 2},
+		"a second copy":        {ok + ok, policy.OK, 2},
+		"noise behind":         {ok + "noise", policy.OK, 2},
+		"report of nonsense":   {"HTTP/1.1 200 OK\r\nEndpoint-Load-Metrics: TEXT x0=0.1, x1=zz\r\nContent-Length: 0\r\n\r\n", policy.OK, 1},
+		"report beyond reason": {"HTTP/1.1 200 OK\r\nEndpoint-Load-Metrics: TEXT x0=-1, x1=25\r\nContent-Length: 0\r\n\r\n", policy.OK, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr, conns := peer(t, row.answer, ok)
+			ended := make(chan []policy.Event, 1)
+			p := NewPool(Options{MaxConns: 4, KeepAlive: time.Minute, DialTimeout: time.Second, X0: 0, X1: 1,
+				Done: func(_ *Call, events []policy.Event) { ended <- events }})
+			for i, want := range []policy.Outcome{row.outcome, policy.OK} {
+				p.Go(&Call{Endpoint: 1, Addr: addr, SentAt: time.Now(), Timeout: 5 * time.Second, Items: []Item{{ID: 1, Trace: "t"}}})
+				if e := (<-ended)[0]; e.Outcome != want || e.Report != nil || e.Wait != 0 || e.Latency > 2000 {
+					t.Errorf("call %d: %+v, want outcome %d", i, e, want)
+				}
+				if n := <-conns; n != []int{1, row.conn}[i] {
+					t.Errorf("call %d on connection %d", i, n)
+				}
+			}
+		})
+	}
+}
+
 // A call that was dropped is not made, and one that has begun is not dropped.
 func TestDrop(t *testing.T) {
 	addr, conns := peer(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -23,6 +23,9 @@
 	sendFor   = 2000 * time.Millisecond // after the stop, new calls still begin so long
 	stopAfter = 3000 * time.Millisecond // and the sender leaves at the latest then
 	stopLeast = 600 * time.Millisecond  // or earlier, but clients still come so long
+	pastFor   = 30000.0                 // milliseconds that the id of a message that is over is known
+	pastMost  = 8192                    // ids of these, at most
+	maxDests  = 1 << 12                 // destinations that are known, at most
 	lateLeast = 1000.0                  // retry-after where there is no room, in milliseconds
 )
 
@@ -44,6 +47,8 @@
 type Verdict struct {
 	Taken      bool
 	Num        uint64 // the sender's number, if taken
+	Known      bool   // not taken: another with this id was
+	NoRoute    bool   // not taken: its destination has never been listed
 	RetryAfter float64
 }
 
@@ -71,6 +76,26 @@
 	cutAt float64        // when the attempt's time is up
 }
 
+// past knows the ids of messages that are over, for a while.
+type past struct {
+	ids  map[string]bool
+	line []pastID // oldest first
+}
+
+type pastID struct {
+	trace string
+	at    float64
+}
+
+func (p *past) add(trace string, now float64) {
+	for len(p.line) > 0 && (len(p.line) >= pastMost || now-p.line[0].at > pastFor) {
+		delete(p.ids, p.line[0].trace)
+		p.line = p.line[1:]
+	}
+	p.ids[trace] = true
+	p.line = append(p.line, pastID{trace, now})
+}
+
 // Options are the parts that a Sender works with.
 type Options struct {
 	Settings policy.Settings
@@ -99,6 +124,8 @@
 
 	msgs    map[uint64]*message // taken on and not over, and not waiting for a notice
 	traces  map[string]uint64
+	past    past                      // ids of messages that were taken on and are over
+	dests   map[int]bool              // that have been listed
 	owed    map[uint64]*journal.Entry // whose notice is not taken yet
 	addrs   map[uint32]discovery.Endpoint
 	calls   map[*outbound.Call]bool // out
@@ -133,6 +160,8 @@
 		start:  time.Now(),
 		msgs:   map[uint64]*message{},
 		traces: map[string]uint64{},
+		past:   past{ids: map[string]bool{}},
+		dests:  map[int]bool{},
 		owed:   map[uint64]*journal.Entry{},
 		addrs:  map[uint32]discovery.Endpoint{},
 		calls:  map[*outbound.Call]bool{},
@@ -296,7 +325,8 @@
 		if m := s.msgs[in.gone]; m != nil {
 			s.events = append(s.events, policy.Event{Kind: policy.EvWithdrawn, ID: m.Num})
 			s.drop(m.call)
-			s.over(m)
+			s.journal.End(m.Entry)
+			s.forget(m)
 		}
 	case in.stop:
 		if s.stopAt.IsZero() {
@@ -309,12 +339,17 @@
 func (s *Sender) takeOrder(o *order) {
 	m := o.msg
 	left := float64(m.Left-time.Since(o.received)) / 1e6
-	switch num, known := s.traces[string(m.Trace)]; {
-	case known: // handed in again on a new connection: the sender holds it already
-		o.verdict <- Verdict{Taken: true, Num: num}
+	switch _, held := s.traces[string(m.Trace)]; {
+	case held, s.past.ids[string(m.Trace)]:
+		// Every hand-in has an id of its own, so this is no client's of ours. It must not share the
+		// fate of the first: were its answer unheard, a message that is owed an end would be withdrawn.
+		o.verdict <- Verdict{Known: true}
+		return
+	case !s.dests[m.Dest]: // nothing could be done with it but hold it until its time is up
+		o.verdict <- Verdict{NoRoute: true, RetryAfter: s.busyRetry()}
 		return
 	case !s.stopAt.IsZero(), left <= 0, s.set.MaxHeld > 0 && len(s.msgs) >= s.set.MaxHeld, !s.journal.Room(len(m.Body)):
-		o.verdict <- Verdict{RetryAfter: min(lateLeast, max(s.set.MaxRetryAfter, 1))}
+		o.verdict <- Verdict{RetryAfter: s.busyRetry()}
 		return
 	}
 	e := &journal.Entry{
@@ -334,6 +369,9 @@
 	})
 }
 
+// busyRetry is when to come again where there is no room.
+func (s *Sender) busyRetry() float64 { return min(lateLeast, max(s.set.MaxRetryAfter, 1)) }
+
 // takeOutcome books the end of a call.
 func (s *Sender) takeOutcome(c *outbound.Call, events []policy.Event) {
 	delete(s.calls, c)
@@ -383,6 +421,9 @@
 		listed[e.ID] = e.State == policy.Ready
 		if e.State != policy.Gone {
 			s.addrs[e.ID] = e
+			if len(s.dests) < maxDests {
+				s.dests[e.Dest] = true
+			}
 		}
 	}
 	s.events = append(s.events, ev)
@@ -407,6 +448,7 @@
 // over forgets a message to which nothing more is owed.
 func (s *Sender) over(m *message) {
 	s.journal.End(m.Entry)
+	s.past.add(m.Trace, s.now)
 	s.forget(m)
 }
 
@@ -544,11 +586,13 @@
 	for _, t := range s.orders {
 		if t.entry == m.Entry {
 			t.refused, t.after = true, a.After
-			s.over(m)
+			s.journal.End(m.Entry)
+			s.forget(m)
 			return
 		}
 	}
 	s.drop(m.call)
+	s.past.add(m.Trace, s.now)
 	s.forget(m)
 	ending := journal.GivenUp
 	if a.Kind == policy.ActRefuse {
@@ -567,7 +611,8 @@
 			s.events = append(s.events, policy.Event{Kind: policy.EvWithdrawn, ID: t.entry.Num})
 			s.again = true
 			if m := s.msgs[t.entry.Num]; m != nil {
-				s.over(m)
+				s.journal.End(m.Entry)
+				s.forget(m)
 			}
 			t.verdict <- Verdict{RetryAfter: lateLeast}
 		default:
