One answered error neither idles an endpoint nor begins its ramp again; faster ramps

Lines at fault: policy.go serve (doubt costs five calls for as long as it lasts), suspect (any failure), health (any failure in a ramp opens), freeAt (the ramp's base is the own rate before, however high the told limit), send (a trial's time-out of 2.5 s stretched up to 4 times); sender.go: dial time-out as in the settings.

What was handed in while the destination was gone still mostly expires.

--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -4,6 +4,7 @@
 package sender
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -20,12 +21,13 @@
 const (
 	queued    = 256                     // inputs that wait for the next step
 	batchMost = 512                     // inputs of one step
-	sendFor   = 2000 * time.Millisecond // after the stop, new calls still begin so long
+	sendFor   = 2500 * time.Millisecond // after the stop, new calls still begin so long
 	stopAfter = 3000 * time.Millisecond // and the sender leaves at the latest then
 	stopLeast = 600 * time.Millisecond  // or earlier, but clients still come so long
 	pastFor   = 30000.0                 // milliseconds that the id of a message that is over is known
 	pastMost  = 8192                    // ids of these, at most
 	maxDests  = 1 << 12                 // destinations that are known, at most
+	dialMost  = 500.0                   // milliseconds that a connection may take to come up
 	lateLeast = 1000.0                  // retry-after where there is no room, in milliseconds
 )
 
@@ -153,6 +155,9 @@
 	// However many the settings allow on a connection, HTTP/1.1 carries one call at a time:
 	// the module must know which calls need a new one.
 	o.Settings.StreamsPerConn = 1
+	// A connection comes up in a few round trips or not at all. Waiting longer for one to a machine
+	// that is cut off holds a slot, and the module learns of the outage that much later.
+	o.Settings.DialTimeout = min(cmp.Or(o.Settings.DialTimeout, dialMost), dialMost)
 	s := &Sender{
 		set: o.Settings, mod: policy.New(o.Settings, o.Seed), log: o.Log,
 		journal: o.Journal, notices: o.Notices,
@@ -171,7 +176,7 @@
 	s.pool = outbound.NewPool(outbound.Options{
 		MaxConns:    o.Sockets,
 		KeepAlive:   or(millis(o.Settings.KeepAlive), 30*time.Second),
-		DialTimeout: or(millis(o.Settings.DialTimeout), 1500*time.Millisecond),
+		DialTimeout: millis(o.Settings.DialTimeout),
 		X0:          o.Settings.X0, X1: o.Settings.X1,
 		Done: func(c *outbound.Call, events []policy.Event) { s.in <- input{call: c, events: events} },
 	})
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -65,6 +65,7 @@
 	dialShort   = 0.45    // failing share of these above which connections are short there
 	dialSoon    = 3500.0  // or a success that comes so soon after a connection was turned away
 	dialFor     = 60000.0 // how long none is kept idle then
+	doubtFor    = 1000.0  // an endpoint that failed is passed over for its siblings about so long
 	aliveFor    = 500.0   // an endpoint that succeeded so lately, with calls out, is not down
 	openAfter   = 4       // failures in a row that open a breaker, where successes were seen lately
 	openShare   = 0.8     // failing share (EWMA) that opens it
@@ -76,6 +77,7 @@
 	shutPause   = 0.2    // part of the first pause after refusals alone
 	trialLo     = 500.0  // first pause before a trial
 	trialHi     = 2500.0
+	trialLeast  = 1000.0  // time-out of a trial at least
 	trialDense  = 300.0   // for each sender, where most of them hold something
 	trialFew    = 150.0   // for each sender, where many try: the first pause is this times their number,
 	trialFirst  = 12000.0 // up to this
@@ -86,6 +88,8 @@
 	rampMargin  = 0.65    // share of what fail-back allows that is used; other senders ramp at their own
 	rampDepth   = 0.2     // the ramp's budget saves up this part of TipAfter
 	baseLeast   = 0.25    // own rate before an outage is taken as this at least, for
+	toldSure    = 1.3     // a limit that was told is under the capacity: the ramp may rely on more of it
+	ratedSure   = 0.6     // a rating of the list may be up to half too high; an outage's ramp relies on so much
 	baseFew     = 4.0     // so many senders; more share it
 	itemWeight  = 0.25    // a further message in a call, as a share of a call
 	spanMargin  = 0.9     // share of a key's memory span that is used
@@ -413,7 +417,13 @@
 			cost += float64(ep.trials)
 		}
 		if s.suspect(ep) {
-			cost += 5 // a sibling without doubts goes first: the fault may be this endpoint's or the way to it
+			// A sibling without doubts goes first: the fault may be this endpoint's or the way to it. Not for good,
+			// or one failure idles it as long as the sibling has a queue.
+			doubt := 5.0
+			if ep.state == closed && len(ep.calls) == 0 {
+				doubt *= math.Exp((ep.failAt - s.now) / doubtFor)
+			}
+			cost += doubt
 		}
 		if best == nil || cost < bestCost {
 			best, bestCost = ep, cost
@@ -530,6 +540,13 @@
 		}
 		share := s.set.ColdFrom + (1-s.set.ColdFrom)*t
 		own := max(ep.base, baseLeast*min(1, baseFew/float64(max(s.set.Senders, 1))))
+		if s.few() { // its part of a told limit, which is under the capacity, is safe and may be much more
+			sure := ratedSure
+			if r.reported {
+				sure = toldSure
+			}
+			own = max(own, sure*r.told/float64(max(s.set.Senders, 1)*max(r.listed(), 1)))
+		}
 		rate := own * share * s.set.TipMultiple * rampMargin / 1000
 		if at := ep.budget.fill(s.now, rate, 1+rate*s.set.TipAfter*rampDepth); at > s.now {
 			return at
@@ -554,7 +571,7 @@
 }
 
 func (s *Sender) suspect(ep *endpoint) bool {
-	if ep.state != closed || ep.fails > 0 {
+	if ep.state != closed || ep.fails > 1 || ep.fails == 1 && ep.mute { // one answered error may happen anywhere
 		return true
 	}
 	return len(ep.calls) > 0 && ep.lastOK < ep.calls[0].sentAt &&
@@ -597,6 +614,9 @@
 	m.out = c
 	s.unqueue(m)
 	limit := max(timeoutOf*d.lat.high(latDevs), timeoutLo) * ep.stretch
+	if ep.state == open { // the sooner a silent one is over, the sooner the next may find it back
+		limit = max(timeoutOf*d.lat.high(latDevs), trialLeast) * min(ep.stretch, 2)
+	}
 	s.out = append(s.out, Action{Kind: ActSend, ID: m.id, Endpoint: ep.id, After: min(limit, m.deadline-s.now)})
 }
 
@@ -658,7 +678,7 @@
 func (s *Sender) report(r *route, rep []float64) {
 	r.left = field(rep, s.set.X0)
 	if x1 := field(rep, s.set.X1); x1 > 0 && !math.IsInf(x1, 0) {
-		r.told = x1
+		r.told, r.reported = x1, true
 		if r.limit == 0 || r.limit > x1 {
 			r.limit = x1
 		}
@@ -691,6 +711,7 @@
 			return // others succeed: its connections, not the endpoint, are short
 		}
 		ep.fails++
+		ep.failAt, ep.mute = s.now, o != Error
 		ep.failShare += latGain * (1 - ep.failShare)
 		ep.hung = !s.turnedAway(c, o) && (o == Timeout || o == ConnectFailed)
 		if o == Timeout {
@@ -702,7 +723,10 @@
 		if c.idle > staleLeast || s.turnedAway(c, o) && s.now < s.dials[ep.kind].shortUntil {
 			seen++ // its idle connection may be at fault, or room for one was short
 		}
-		if ep.state != closed || ep.fails >= openAfter || ep.fails > seen && !s.few() || ep.failShare > openShare {
+		// One answered error in a ramp is no new outage: beginning it again for each would keep what waits from an
+		// endpoint that works.
+		worse := ep.state == open || ep.state == ramping && (ep.fails > 1 || ep.mute || !s.few())
+		if worse || ep.fails >= openAfter || ep.fails > seen && !s.few() || ep.failShare > openShare {
 			s.open(ep)
 		} else if ep.lastOK < s.now-followAfter { // nothing says that it is up
 			ep.nextTrial = s.now + s.around(s.fewPause())
@@ -848,7 +872,7 @@
 func (s *Sender) open(ep *endpoint) {
 	if ep.state == closed {
 		ep.base = ep.route.delivered.v / float64(max(ep.route.listed(), 1))
-		ep.trials, ep.openAt = 0, s.now
+		ep.trials, ep.openAt, ep.stretch = 0, s.now, 1
 		s.log("breaker open", ep.dest.id, ep.id)
 	} else if ep.state == open {
 		ep.trials++
--- a/policy/state.go
+++ b/policy/state.go
@@ -62,6 +62,7 @@
 	limit     float64 // own pace in calls a second; 0 = none known
 	left      float64 // share of its allowance left, as told by a report
 	told      float64 // whole limit as told by the list or a report; 0 = none
+	reported  bool    // by a report
 	tokens    bucket
 	grownAt   float64
 	cutAt     float64
@@ -117,6 +118,8 @@
 
 	state     breaker
 	fails     int     // failures in a row
+	failAt    float64 // the last of them
+	mute      bool    // and it was no answer
 	failShare float64 // EWMA
 	stretch   float64 // factor on time-outs after time-outs
 	hung      bool    // the last failure was silence
