Make room for clients before they come; an open breaker that is answered lets calls through

Clients that ask once, keep the connection and come back when it is closed filled all places; makeRoom began to look for room only when none was left, and an idle connection was safe for 2 s (intake.go makeRoom, relieve), so that a usual client stood in the listen queue for longer than its 400 ms. 40 in 100 descriptors were set aside for calls that 17 slots can never need. Now: 16 places are kept free, connections with one request go after 0.2 s, those with several after 2 s, and calls get 64 descriptors and 4 for each slot at most. TestCrowd: each request took 4 s and more before.

A destination takes ColdFrom of its capacity in any state, so this much goes on while it answers.

--- a/cmd/sliptide/main.go
+++ b/cmd/sliptide/main.go
@@ -27,6 +27,12 @@
 	clientsCome = 500 * time.Millisecond // after a SIGTERM, new connections still come so long
 	leaveBy     = 3200 * time.Millisecond
 	spareFiles  = 32 // descriptors that are no clients' or endpoints' connections
+
+	// Connections to endpoints: several for each call that may be out, and some that stand idle.
+	callsForSlot = 4
+	idleCalls    = 64
+
+	clientBytes = 24 << 10 // what a client's connection takes, with its goroutine
 )
 
 func main() {
@@ -63,7 +69,8 @@
 	var snd *sender.Sender
 	notices := discovery.NewNotices(cfg.Discovery, log, func(nums []uint64) { snd.Told(nums) })
 	sockets := cfg.Limits.Sockets - spareFiles
-	calls := sockets * 2 / 5 // the rest is for clients: many may hold a connection and say nothing
+	// The rest is for clients: many may hold a connection and say nothing.
+	calls := min(sockets*2/5, idleCalls+callsForSlot*cfg.Settings.CallSlots)
 	snd = sender.New(sender.Options{
 		Settings: cfg.Settings, Seed: cfg.Seed, Sockets: calls,
 		Journal: jr, Restored: restored, Notices: notices.Post, Log: log,
@@ -79,7 +86,7 @@
 	if err := watch.Known(cfg.Known); err != nil {
 		log.Warn().Err(err).Msg("known is of no use, waiting for discovery")
 	}
-	server := intake.New(&cfg.Settings, snd, sockets-calls, log)
+	server := intake.New(&cfg.Settings, snd, clientRoom(sockets-calls, cfg.Limits), log)
 	go reload(ctx, hup, log, func(addr string) {
 		watch.Move(addr)
 		notices.Move(addr)
@@ -136,6 +143,15 @@
 	<-snd.Done()
 }
 
+// clientRoom is how many clients' connections there may be: as descriptors allow, and so
+// that their buffers and stacks take a third of the memory at most.
+func clientRoom(sockets int, l config.Limits) int {
+	if l.MemoryMB > 0 {
+		sockets = min(sockets, int(l.MemoryMB*(1<<20)/3/clientBytes))
+	}
+	return max(sockets, 16)
+}
+
 // limit fits the run time to the machine.
 func limit(l config.Limits) {
 	if l.Cores > 0 {
--- a/cmd/sliptide/main_test.go
+++ b/cmd/sliptide/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
@@ -442,6 +443,49 @@
 	r.noCall()
 }
 
+// A crowd of clients that ask once, keep their connection for good and come back when it is
+// closed keeps no other client out: it has its answer while it waits.
+func TestCrowd(t *testing.T) {
+	r := newRig(t, func(_, limits map[string]any) { limits["sockets"] = 64 }, "one")
+	ctx, stop := context.WithCancel(context.Background())
+	var crowd sync.WaitGroup
+	asked := make(chan bool, 1000)
+	for range 60 {
+		crowd.Add(1)
+		go func() {
+			defer crowd.Done()
+			for ctx.Err() == nil {
+				nc, err := net.Dial("tcp", r.addr)
+				if err != nil {
+					continue
+				}
+				end := context.AfterFunc(ctx, func() { nc.Close() })
+				io.WriteString(nc, "GET /up HTTP/1.1\r\n\r\n")
+				select {
+				case asked <- true:
+				default:
+				}
+				io.Copy(io.Discard, nc)
+				end()
+				nc.Close()
+			}
+		}()
+	}
+	for range 200 { // more than there are places, several times over
+		next(t, asked, "the crowd asks")
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for i := range 5 {
+		begin := time.Now()
+		resp, err := client.Get("http://" + r.addr + "/up")
+		if took := time.Since(begin); err != nil || resp.StatusCode != 200 || took > 2*time.Second {
+			t.Errorf("request %d: %v after %v", i, err, took)
+		}
+	}
+	stop()
+	crowd.Wait()
+}
+
 // Connections that say nothing or only half of a request get their end soon, and hold no
 // place that others need, however many there are.
 func TestSilentClients(t *testing.T) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -23,6 +23,7 @@
 const (
 	idleFor     = 30 * time.Second        // a connection between requests
 	idleLeast   = 2 * time.Second         // one may be closed for want of room after this
+	onceLeast   = 200 * time.Millisecond  // or this, if it has had one request alone
 	firstFor    = 2 * time.Second         // a new one says nothing for so long
 	firstLeast  = 30 * time.Millisecond   // and may be closed for want of room after this: clients write at once
 	firstWhole  = 2500 * time.Millisecond // its first request is there by then; an answer is owed within 3 s
@@ -33,6 +34,7 @@
 	patience    = 400 * time.Millisecond // how long a client waits for its answer
 	acceptPause = 5 * time.Millisecond
 	victims     = 32 // connections that are asked to close at a time, for want of room
+	headroom    = 16 // places that are kept free by that, where there are many
 )
 
 // Server accepts clients' connections.
@@ -45,6 +47,8 @@
 	stop  atomic.Bool // nothing more is taken on
 	wg    sync.WaitGroup
 
+	relieved time.Time // of makeRoom alone
+
 	mu    sync.Mutex
 	conns map[*client]bool
 }
@@ -52,18 +56,22 @@
 // The states of a connection, in the order in which it may be closed for want of room.
 const (
 	silent  = iota // nothing has come yet
-	idle           // between requests
 	reading        // a request arrives
-	serving        // it is being answered
+	once           // idle after its first request: many ask once and keep their connection for good
+	idle           // between requests, after several
+	serving        // a request is being answered
 )
 
+// least is how long a connection is in its state before it may be closed for want of room.
+var least = [...]time.Duration{silent: firstLeast, reading: patience, once: onceLeast, idle: idleLeast}
+
 // client is one connection.
 type client struct {
 	nc    net.Conn
 	rd    *http1.Reader
 	out   []byte
 	begun time.Time
-	first bool       // it has had no request yet
+	had   int        // requests
 	mu    sync.Mutex // over the three below and the read deadline
 	state int
 	since time.Time // of its state
@@ -92,7 +100,7 @@
 			time.Sleep(acceptPause) // out of descriptors: some will be free again
 			continue
 		}
-		c := &client{nc: nc, rd: http1.NewReader(nc), begun: time.Now(), first: true}
+		c := &client{nc: nc, rd: http1.NewReader(nc), begun: time.Now()}
 		s.mu.Lock()
 		s.conns[c] = true
 		s.mu.Unlock()
@@ -101,23 +109,26 @@
 	}
 }
 
-// makeRoom takes a place for one more connection; where all are taken it closes those
-// that need theirs least, so that no client can hold them all.
+// makeRoom takes a place for one more connection. Where hardly one is left it closes those
+// that need theirs least, so that no client can hold them all, and so soon that a client
+// who comes in a crowd is served while it still waits.
 func (s *Server) makeRoom() {
 	for {
+		if cap(s.room)-len(s.room) <= min(headroom, cap(s.room)/8) && time.Since(s.relieved) >= acceptPause {
+			s.relieve()
+			s.relieved = time.Now()
+		}
 		select {
 		case s.room <- struct{}{}:
 			return
 		case <-time.After(acceptPause):
-			s.relieve()
 		}
 	}
 }
 
 // relieve asks some connections to close: first those that have never said a word, then
-// idle ones, then those whose request takes longer to arrive than its client waits.
+// those whose request takes longer to arrive than its client waits, then idle ones.
 func (s *Server) relieve() {
-	least := [...]time.Duration{silent: firstLeast, idle: idleLeast, reading: patience}
 	type candidate struct {
 		c     *client
 		state int
@@ -154,9 +165,12 @@
 // wait returns when a request begins to arrive. One that arrives just as the
 // connection is asked to close is still served.
 func (c *client) wait() error {
-	if c.first {
+	switch c.had {
+	case 0:
 		c.enter(silent, c.begun.Add(firstFor))
-	} else {
+	case 1:
+		c.enter(once, time.Now().Add(idleFor))
+	default:
 		c.enter(idle, time.Now().Add(idleFor))
 	}
 	err := c.rd.Wait()
@@ -164,7 +178,7 @@
 		c.nc.SetReadDeadline(time.Now().Add(lastLook))
 		err = c.rd.Wait()
 	}
-	if c.first {
+	if c.had == 0 {
 		c.enter(reading, c.begun.Add(firstWhole))
 	} else {
 		c.enter(reading, time.Now().Add(readFor))
@@ -191,8 +205,9 @@
 	for {
 		s.mu.Lock()
 		for c := range s.conns {
-			c.askToClose(silent, 0)
-			c.askToClose(idle, 0)
+			for _, state := range [...]int{silent, once, idle} {
+				c.askToClose(state, 0)
+			}
 		}
 		s.mu.Unlock()
 		select {
@@ -226,7 +241,7 @@
 	m, err := c.rd.Request()
 	received := time.Now()
 	c.enter(serving, time.Time{})
-	c.first = false
+	c.had++
 	if err != nil {
 		return s.bad(c, err)
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -517,6 +517,15 @@
 			return ep.nextTrial
 		}
 	case open:
+		if ep.leaks && s.few() {
+			// It answers, if mostly with errors: what a cold destination can take in any case goes on, since each call
+			// may be the one that is taken on, and shows at once that the outage is over.
+			rate := s.rampRate(ep, s.set.ColdFrom)
+			if at := ep.budget.fill(s.now, rate, 1+rate*s.set.TipAfter*rampDepth); at > s.now {
+				return at
+			}
+			break
+		}
 		if out > 0 {
 			return math.Inf(1)
 		}
@@ -539,15 +548,7 @@
 			break
 		}
 		share := s.set.ColdFrom + (1-s.set.ColdFrom)*t
-		own := max(ep.base, baseLeast*min(1, baseFew/float64(max(s.set.Senders, 1))))
-		if s.few() { // its part of a told limit, which is under the capacity, is safe and may be much more
-			sure := ratedSure
-			if r.reported {
-				sure = toldSure
-			}
-			own = max(own, sure*r.told/float64(max(s.set.Senders, 1)*max(r.listed(), 1)))
-		}
-		rate := own * share * s.set.TipMultiple * rampMargin / 1000
+		rate := s.rampRate(ep, share)
 		if at := ep.budget.fill(s.now, rate, 1+rate*s.set.TipAfter*rampDepth); at > s.now {
 			return at
 		}
@@ -570,6 +571,20 @@
 	return s.now
 }
 
+// rampRate is how much a millisecond may go to ep when its destination has this share of its capacity.
+func (s *Sender) rampRate(ep *endpoint, share float64) float64 {
+	r := ep.route
+	own := max(ep.base, baseLeast*min(1, baseFew/float64(max(s.set.Senders, 1))))
+	if s.few() { // its part of a told limit, which is under the capacity, is safe and may be much more
+		sure := ratedSure
+		if r.reported {
+			sure = toldSure
+		}
+		own = max(own, sure*r.told/float64(max(s.set.Senders, 1)*max(r.listed(), 1)))
+	}
+	return own * share * s.set.TipMultiple * rampMargin / 1000
+}
+
 func (s *Sender) suspect(ep *endpoint) bool {
 	if ep.state != closed || ep.fails > 1 || ep.fails == 1 && ep.mute { // one answered error may happen anywhere
 		return true
@@ -591,7 +606,7 @@
 		if ep.route.limit > 0 {
 			ep.route.tokens.v--
 		}
-		if ep.state == ramping {
+		if ep.state != closed {
 			ep.budget.v--
 		}
 		if c.idle >= s.staleGap && s.stale > staleShare {
@@ -600,7 +615,7 @@
 			s.stale *= 1 - staleForget
 		}
 		s.connect(c)
-	} else if ep.state == ramping {
+	} else if ep.state != closed {
 		ep.budget.v -= itemWeight
 	}
 	c.left++
@@ -711,7 +726,7 @@
 			return // others succeed: its connections, not the endpoint, are short
 		}
 		ep.fails++
-		ep.failAt, ep.mute = s.now, o != Error
+		ep.failAt, ep.mute, ep.leaks = s.now, o != Error, o == Error
 		ep.failShare += latGain * (1 - ep.failShare)
 		ep.hung = !s.turnedAway(c, o) && (o == Timeout || o == ConnectFailed)
 		if o == Timeout {
@@ -873,6 +888,7 @@
 	if ep.state == closed {
 		ep.base = ep.route.delivered.v / float64(max(ep.route.listed(), 1))
 		ep.trials, ep.openAt, ep.stretch = 0, s.now, 1
+		ep.budget = bucket{0, s.now}
 		s.log("breaker open", ep.dest.id, ep.id)
 	} else if ep.state == open {
 		ep.trials++
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -697,3 +697,33 @@
 		}
 	}
 }
+
+// An open breaker lets some calls through while its endpoint answers, no more than a cold destination takes; where
+// nobody answers it lets one trial through at a time.
+func TestOpenBreakerGoesOnWhileAnswered(t *testing.T) {
+	sent := func(o Outcome) (n int) {
+		r := newRig(t, testSettings(), ready(1, 0, 2))
+		ep := r.s.eps[1]
+		ep.base, ep.state, ep.fails, ep.leaks, ep.mute = 20, open, openAfter, o == Error, o != Error
+		ep.openAt, ep.nextTrial, ep.budget = r.now, r.now+trialLo, bucket{0, r.now}
+		for id := range uint64(40) {
+			r.message(id+1, clsSafe, 0, 0)
+		}
+		for end := r.now + 3000; r.now < end; {
+			for _, a := range r.run(r.now + 50) {
+				if a.Kind == ActSend {
+					n++
+					r.step(r.outcome(a.ID, o, 0))
+				}
+			}
+		}
+		return n
+	}
+	cold := 20 * 0.25 * 1.5 * 3 // what fail-back allows in 3 s, from all senders
+	if n := sent(Error); n < 8 || float64(n) > cold {
+		t.Errorf("%d calls in 3 s to an endpoint that answers with errors", n)
+	}
+	if n := sent(Timeout); n > 4 {
+		t.Errorf("%d calls in 3 s to one that is silent", n)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -120,6 +120,7 @@
 	fails     int     // failures in a row
 	failAt    float64 // the last of them
 	mute      bool    // and it was no answer
+	leaks     bool    // it was an answer: an open breaker lets some calls through
 	failShare float64 // EWMA
 	stretch   float64 // factor on time-outs after time-outs
 	hung      bool    // the last failure was silence
