--- a/policy/policy.go
+++ b/policy/policy.go
@@ -88,6 +88,7 @@
 	rampMargin  = 0.65    // share of what fail-back allows that is used; other senders ramp at their own
 	rampDepth   = 0.2     // the ramp's budget saves up this part of TipAfter
 	baseLeast   = 0.25    // own rate before an outage is taken as this at least, for
+	toldJump    = 1.5     // a told limit that rises by this is no noise
 	toldSure    = 1.3     // a limit that was told is under the capacity: the ramp may rely on more of it
 	ratedSure   = 0.6     // a rating of the list may be up to half too high; an outage's ramp relies on so much
 	baseFew     = 4.0     // so many senders; more share it
@@ -580,7 +581,7 @@
 		if r.reported {
 			sure = toldSure
 		}
-		own = max(own, sure*r.told/float64(max(s.set.Senders, 1)*max(r.listed(), 1)))
+		own = max(own, sure*s.even(r)/float64(max(r.listed(), 1)))
 	}
 	return own * share * s.set.TipMultiple * rampMargin / 1000
 }
@@ -693,10 +694,16 @@
 func (s *Sender) report(r *route, rep []float64) {
 	r.left = field(rep, s.set.X0)
 	if x1 := field(rep, s.set.X1); x1 > 0 && !math.IsInf(x1, 0) {
+		if r.reported && x1 > toldJump*r.told { // a squeeze is over: the pace follows as it did when the limit fell
+			r.limit *= x1 / r.told
+		}
 		r.told, r.reported = x1, true
 		if r.limit == 0 || r.limit > x1 {
 			r.limit = x1
 		}
+		if s.few() { // a limit that is back must not be crept up to from what was left of it meanwhile
+			r.limit = max(r.limit, s.even(r)/2)
+		}
 	}
 }
 
@@ -813,7 +820,7 @@
 		r.fullSince = s.now
 	}
 	s.grow(r, 0)
-	even := r.told / float64(max(s.set.Senders, 1))
+	even := s.even(r)
 	switch {
 	case s.busyOn(r): // it sees enough to tell what is taken on
 		if sentAt >= r.cutAt {
@@ -853,6 +860,9 @@
 	}
 }
 
+// even is a sender's part of a told limit.
+func (s *Sender) even(r *route) float64 { return r.told / float64(max(s.set.Senders, 1)) }
+
 // few tells whether so few send that each one's own traffic shows what a destination does.
 func (s *Sender) few() bool { return s.set.Senders <= fewSenders }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -727,3 +727,33 @@
 		t.Errorf("%d calls in 3 s to one that is silent", n)
 	}
 }
+
+// A told limit that falls for a while takes the pace with it, and brings it back: creeping up by a few parts in a
+// hundred a second would hold messages for longer than they live.
+func TestPaceFollowsToldLimit(t *testing.T) {
+	set := testSettings()
+	set.X0, set.X1 = 0, 1
+	r := newRig(t, set, ready(1, 0, 2))
+	tell := func(id uint64, o Outcome, x1 float64) float64 {
+		r.now += 100
+		r.message(id, clsSafe, 0, 0)
+		e := r.outcome(id, o, 0)
+		e.Report = []float64{0.5, x1}
+		r.step(e)
+		r.step(Event{Kind: EvWithdrawn, ID: id})
+		return r.s.eps[1].route.limit
+	}
+	if l := tell(1, OK, 20); l != 20 {
+		t.Errorf("pace %v under a limit of 20", l)
+	}
+	if l := tell(2, OK, 2); l > 2 {
+		t.Errorf("pace %v under a limit of 2", l)
+	}
+	if l := tell(3, OK, 20); l < 15 {
+		t.Errorf("pace %v under a limit that is 20 again", l)
+	}
+	r.s.eps[1].route.limit, r.s.eps[1].route.tokens.v = 0.5, 1
+	if l := tell(4, OK, 21); l < 5 {
+		t.Errorf("pace %v, under half an even share of 21", l)
+	}
+}
