--- a/cmd/sliptide/main_test.go
+++ b/cmd/sliptide/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"encoding/base64"
 	"encoding/json"
@@ -443,9 +444,15 @@
 	r.noCall()
 }
 
-// A crowd of clients that ask once, keep their connection for good and come back when it is
-// closed keeps no other client out: it has its answer while it waits.
+// A crowd of clients that ask once, or never end their request, keep their connection for good
+// and come back when it is closed keeps no other client out: it has its answer while it waits.
 func TestCrowd(t *testing.T) {
+	for name, says := range map[string]string{"once": "GET /up HTTP/1.1\r\n\r\n", "half": "GET /up HTTP/1.1\r\n"} {
+		t.Run(name, func(t *testing.T) { crowd(t, says) })
+	}
+}
+
+func crowd(t *testing.T, says string) {
 	r := newRig(t, func(_, limits map[string]any) { limits["sockets"] = 64 }, "one")
 	ctx, stop := context.WithCancel(context.Background())
 	var crowd sync.WaitGroup
@@ -460,7 +467,7 @@
 					continue
 				}
 				end := context.AfterFunc(ctx, func() { nc.Close() })
-				io.WriteString(nc, "GET /up HTTP/1.1\r\n\r\n")
+				io.WriteString(nc, says)
 				select {
 				case asked <- true:
 				default:
@@ -486,6 +493,35 @@
 	crowd.Wait()
 }
 
+// A client that has connected and not asked yet keeps its place as long as there are others
+// that have asked once.
+func TestEarlyConnectionIsKept(t *testing.T) {
+	r := newRig(t, func(_, limits map[string]any) { limits["sockets"] = 64 })
+	ask := func(nc net.Conn) string {
+		nc.SetDeadline(time.Now().Add(patient))
+		io.WriteString(nc, "GET /up HTTP/1.1\r\n\r\n")
+		line, _ := bufio.NewReader(nc).ReadString('\n')
+		return line
+	}
+	dial := func() net.Conn {
+		nc, err := net.Dial("tcp", r.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+		return nc
+	}
+	early := []net.Conn{dial(), dial(), dial()}
+	for range 30 { // more than there are places
+		ask(dial())
+	}
+	for i, nc := range early {
+		if got := ask(nc); !strings.HasPrefix(got, "HTTP/1.1 200") {
+			t.Errorf("early connection %d: %q", i, got)
+		}
+	}
+}
+
 // Connections that say nothing or only half of a request get their end soon, and hold no
 // place that others need, however many there are.
 func TestSilentClients(t *testing.T) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -23,9 +23,10 @@
 const (
 	idleFor     = 30 * time.Second        // a connection between requests
 	idleLeast   = 2 * time.Second         // one may be closed for want of room after this
-	onceLeast   = 200 * time.Millisecond  // or this, if it has had one request alone
+	onceLeast   = 20 * time.Millisecond   // or this, if it has not handed in two messages
+	readLeast   = 100 * time.Millisecond  // a request that takes so long to arrive gives its place up: clients write it whole
 	firstFor    = 2 * time.Second         // a new one says nothing for so long
-	firstLeast  = 30 * time.Millisecond   // and may be closed for want of room after this: clients write at once
+	firstLeast  = 100 * time.Millisecond  // and may be closed for want of room after this: clients write at once
 	firstWhole  = 2500 * time.Millisecond // its first request is there by then; an answer is owed within 3 s
 	readFor     = 2 * time.Second         // a later request, from its first byte
 	writeFor    = time.Second             // an answer
@@ -33,8 +34,7 @@
 	lingerFor   = 200 * time.Millisecond
 	patience    = 400 * time.Millisecond // how long a client waits for its answer
 	acceptPause = 5 * time.Millisecond
-	victims     = 32 // connections that are asked to close at a time, for want of room
-	headroom    = 16 // places that are kept free by that, where there are many
+	headroom    = 16 // places that are kept free where there are many
 )
 
 // Server accepts clients' connections.
@@ -53,17 +53,18 @@
 	conns map[*client]bool
 }
 
-// The states of a connection, in the order in which it may be closed for want of room.
+// The states of a connection, in the order in which it may be closed for want of room. One
+// that has asked once costs its client nothing; one that is silent may be about to ask.
 const (
-	silent  = iota // nothing has come yet
+	once    = iota // idle, and has not handed in two messages: many ask once and keep their connection for good
 	reading        // a request arrives
-	once           // idle after its first request: many ask once and keep their connection for good
-	idle           // between requests, after several
+	silent         // nothing has come yet
+	idle           // between requests
 	serving        // a request is being answered
 )
 
 // least is how long a connection is in its state before it may be closed for want of room.
-var least = [...]time.Duration{silent: firstLeast, reading: patience, once: onceLeast, idle: idleLeast}
+var least = [...]time.Duration{silent: firstLeast, reading: readLeast, once: onceLeast, idle: idleLeast}
 
 // client is one connection.
 type client struct {
@@ -71,7 +72,8 @@
 	rd    *http1.Reader
 	out   []byte
 	begun time.Time
-	had   int        // requests
+	begin bool       // it has had a request
+	had   int        // messages handed in
 	mu    sync.Mutex // over the three below and the read deadline
 	state int
 	since time.Time // of its state
@@ -114,8 +116,9 @@
 // who comes in a crowd is served while it still waits.
 func (s *Server) makeRoom() {
 	for {
-		if cap(s.room)-len(s.room) <= min(headroom, cap(s.room)/8) && time.Since(s.relieved) >= acceptPause {
-			s.relieve()
+		keep := min(headroom, cap(s.room)/8)
+		if free := cap(s.room) - len(s.room); free <= keep && time.Since(s.relieved) >= acceptPause {
+			s.relieve(2*keep + 1 - free)
 			s.relieved = time.Now()
 		}
 		select {
@@ -126,9 +129,10 @@
 	}
 }
 
-// relieve asks some connections to close: first those that have never said a word, then
-// those whose request takes longer to arrive than its client waits, then idle ones.
-func (s *Server) relieve() {
+// relieve asks connections to close until so many are about to: first those that have asked
+// once, then those whose request does not come whole, those that never said a word, idle
+// ones. No more than are needed: a client may be about to write on any of them.
+func (s *Server) relieve(need int) {
 	type candidate struct {
 		c     *client
 		state int
@@ -139,14 +143,16 @@
 	s.mu.Lock()
 	for c := range s.conns {
 		c.mu.Lock()
-		if c.state != serving && !c.asked && now.Sub(c.since) >= least[c.state] {
+		if c.asked {
+			need--
+		} else if c.state != serving && now.Sub(c.since) >= least[c.state] {
 			list = append(list, candidate{c, c.state, c.since})
 		}
 		c.mu.Unlock()
 	}
 	s.mu.Unlock()
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Or(a.state-b.state, a.since.Compare(b.since)) })
-	for _, v := range list[:min(len(list), victims)] {
+	for _, v := range list[:min(len(list), max(need, 0))] {
 		v.c.askToClose(v.state, least[v.state])
 	}
 }
@@ -165,10 +171,10 @@
 // wait returns when a request begins to arrive. One that arrives just as the
 // connection is asked to close is still served.
 func (c *client) wait() error {
-	switch c.had {
-	case 0:
+	switch {
+	case !c.begin:
 		c.enter(silent, c.begun.Add(firstFor))
-	case 1:
+	case c.had < 2:
 		c.enter(once, time.Now().Add(idleFor))
 	default:
 		c.enter(idle, time.Now().Add(idleFor))
@@ -178,7 +184,7 @@
 		c.nc.SetReadDeadline(time.Now().Add(lastLook))
 		err = c.rd.Wait()
 	}
-	if c.had == 0 {
+	if !c.begin {
 		c.enter(reading, c.begun.Add(firstWhole))
 	} else {
 		c.enter(reading, time.Now().Add(readFor))
@@ -241,11 +247,14 @@
 	m, err := c.rd.Request()
 	received := time.Now()
 	c.enter(serving, time.Time{})
-	c.had++
+	c.begin = true
 	if err != nil {
 		return s.bad(c, err)
 	}
 	r := s.route(m, received)
+	if r.num != 0 {
+		c.had++
+	}
 	keep := !m.Close && !s.stop.Load() && !r.close
 	if err := c.answer(&r, keep); err != nil {
 		s.unheard(&r)
@@ -280,7 +289,8 @@
 	default:
 		return false
 	}
-	if c.answer(&response{status: status}, false) == nil {
+	// Nothing is left to read of a request that did not come, and its place may be needed.
+	if c.answer(&response{status: status}, false) == nil && status != 408 {
 		c.linger()
 	}
 	return false
