--- /dev/null
+++ b/cmd/sliptide/run.go
@@ -0,0 +1,250 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"sliptide/internal/cli"
+	"sliptide/internal/config"
+	"sliptide/internal/discovery"
+	"sliptide/internal/fsys"
+	"sliptide/internal/intake"
+	"sliptide/internal/journal"
+	"sliptide/internal/knowledge/keeper"
+	"sliptide/internal/knowledge/store"
+	"sliptide/internal/operator"
+	"sliptide/internal/sender"
+	"sliptide/internal/statedir"
+)
+
+const (
+	clientsCome = 500 * time.Millisecond // after a SIGTERM, new connections still come so long
+	leaveBy     = 3200 * time.Millisecond
+	knowBy      = 200 * time.Millisecond // the last snapshot may take so long
+	lockFor     = 5 * time.Second        // a predecessor in the state folder is waited for so long
+	spareFiles  = 32                     // descriptors that are no clients' or endpoints' connections
+
+	// Connections to endpoints: several for each call that may be out, and some that stand idle.
+	callsForSlot = 4
+	idleCalls    = 64
+
+	clientBytes = 24 << 10 // what a client's connection takes, with its goroutine
+)
+
+// run runs a sender until SIGTERM. operatorFile may be empty.
+func run(operatorFile string) error {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	hup := make(chan os.Signal, 1) // or the run time would end the process on it
+	signal.Notify(hup, syscall.SIGHUP)
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		return fmt.Errorf("%w: %w", cli.ErrConfig, err)
+	}
+	op, err := loadOperator(operatorFile)
+	if err != nil {
+		return fmt.Errorf("%w: %w", cli.ErrConfig, err)
+	}
+	limit(cfg.Limits)
+	log := zerolog.New(os.Stderr).With().Timestamp().Str("sender", cfg.Name).Logger()
+
+	lock, err := statedir.Lock(cfg.State, lockFor)
+	if err != nil {
+		return err
+	}
+	defer lock.Unlock()
+	space := statedir.NewSpace(cfg.Limits.DiskBytes)
+	clock := sender.NewClock()
+	memory := openMemory(cfg, op.Knowledge, space, clock, log)
+	room := space.Account()
+	room.YieldTo(memory.room)
+	jr, restored, err := journal.Open(cfg.State, room)
+	if err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("RELAY_LISTEN: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+
+	// The sender and what it speaks with refer to each other: its calls are bound below.
+	var snd *sender.Sender
+	notices := discovery.NewNotices(cfg.Discovery, log, func(nums []uint64) { snd.Told(nums) })
+	sockets := cfg.Limits.Sockets - spareFiles
+	// The rest is for clients: many may hold a connection and say nothing.
+	calls := min(sockets*2/5, idleCalls+callsForSlot*cfg.Settings.CallSlots)
+	snd = sender.New(sender.Options{
+		Settings: cfg.Settings, Seed: cfg.Seed, Sockets: calls,
+		Journal: jr, Restored: restored, Notices: notices.Post, Memory: memory.Memory, Clock: clock, Log: log,
+	})
+	listed := make(chan struct{}, 1)
+	asked := false // discovery is: what comes from here on is its word, an empty list too
+	watch := discovery.NewWatch(cfg.Discovery, &cfg.Settings, log, func(l discovery.List) {
+		snd.List(l)
+		if !asked && len(l.Entries) == 0 {
+			return // a known list without entries would meet the first messages with 503
+		}
+		select {
+		case listed <- struct{}{}:
+		default:
+		}
+	})
+	if err := watch.Known(cfg.Known); err != nil {
+		log.Warn().Err(err).Msg("known is of no use, waiting for discovery")
+	}
+	asked = true
+	server := intake.New(&cfg.Settings, snd, clientRoom(sockets-calls, cfg.Limits), log)
+	go reload(ctx, hup, log, operatorFile, func(addr string, op *operator.File) {
+		watch.Move(addr)
+		notices.Move(addr)
+		memory.Keeper.Set(op.Knowledge)
+	})
+	if memory.Keeper != nil {
+		go memory.Keeper.Run()
+	}
+	go snd.Run()
+	go notices.Run(ctx)
+	go watch.Run(ctx)
+	go server.Serve(ln)
+	log.Info().Int("restored", len(restored)).Str("listen", cfg.Listen).Str("discovery", cfg.Discovery).Msg("started")
+
+	patience := time.NewTimer(op.Ready.Patience)
+	defer patience.Stop()
+	select {
+	case <-listed: // the list is at hand, and the journal is replayed
+		server.Ready()
+		<-stop
+	case <-patience.C:
+		log.Warn().Dur("after", op.Ready.Patience).Msg("ready without a list of endpoints")
+		server.Ready()
+		<-stop
+	case <-stop:
+	}
+	shutdown(server, snd, ln)
+	memory.close()
+	if err := jr.Close(); err != nil {
+		return err
+	}
+	log.Info().Msg("stopped")
+	return nil
+}
+
+// loadOperator reads the operators' file, or the defaults where there is none.
+func loadOperator(path string) (*operator.File, error) {
+	if path == "" {
+		f := operator.Default()
+		return &f, nil
+	}
+	return operator.Load(path)
+}
+
+// memory is what the sender knows over restarts, with its room in the folder.
+type memory struct {
+	sender.Memory
+	room *statedir.Account
+}
+
+// openMemory reads what an earlier life knew. Where the part is off, files that it left behind still
+// take their room.
+func openMemory(cfg *config.Config, set operator.Knowledge, space *statedir.Space, clock sender.Clock, log zerolog.Logger) memory {
+	m := memory{room: space.Account()}
+	files := fsys.OS{Dir: cfg.State}
+	if !set.Enabled {
+		var left int64
+		for _, name := range store.Names {
+			left += statedir.Blocks(files.Size(name))
+		}
+		m.room.Reserve(left)
+		m.room.Claim(left)
+		return m
+	}
+	if most := cfg.Limits.DiskBytes / 4; set.MaxSize > most { // the journal goes first
+		log.Warn().Int64("bytes", most).Msg("knowledge: max-size is cut to a quarter of limits.disk_mb")
+		set.MaxSize = most
+	}
+	m.room.Reserve(set.MaxSize)
+	st, book, problems := store.Open(store.Options{FS: files, Room: m.room, Max: set.MaxSize, Sync: set.Sync}, cfg.Name)
+	for _, p := range problems {
+		log.Warn().Str("file", p.File).Err(p.Err).Bool("set_aside", p.Aside).Bool("left_untouched", p.Untold).
+			Msg("knowledge: a file is of no use")
+	}
+	if book.Sender != cfg.Name {
+		log.Warn().Str("of", book.Sender).Msg("knowledge is another sender's")
+	}
+	log.Info().Int("destinations", len(book.Dests)).Int("waits", len(book.Waits)).Msg("knowledge of an earlier life")
+	m.Memory = sender.Memory{Set: set, Book: book.Clone()}
+	m.Keeper = keeper.New(keeper.Options{Set: set, Store: st, Book: book, Room: m.room, Log: log, Clock: clock.Now, Wall: sender.Wall})
+	return m
+}
+
+func (m *memory) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), knowBy)
+	defer cancel()
+	m.Keeper.Close(ctx)
+}
+
+// reload reads the configuration again on each SIGHUP. Discovery may have moved; all
+// else takes effect at the next start. A file that makes no sense changes nothing.
+func reload(ctx context.Context, hup <-chan os.Signal, log zerolog.Logger, operatorFile string, use func(discovery string, op *operator.File)) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		cfg, err := config.Reload(os.Getenv)
+		op, operr := loadOperator(operatorFile)
+		if err = errors.Join(err, operr); err != nil {
+			log.Error().Err(err).Msg("the new configuration is of no use, keeping the old")
+			continue
+		}
+		log.Info().Str("discovery", cfg.Discovery).Msg("configuration read again")
+		use(cfg.Discovery, op)
+	}
+}
+
+// shutdown stops taking on, answers clients while they still come, lets the calls
+// out end, and leaves the rest to the journal.
+func shutdown(server *intake.Server, snd *sender.Sender, ln net.Listener) {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveBy)
+	defer cancel()
+	server.Refuse()
+	snd.Stop()
+	time.Sleep(clientsCome)
+	ln.Close()
+	server.Shutdown(ctx)
+	<-snd.Done()
+}
+
+// clientRoom is how many clients' connections there may be: as descriptors allow, and so
+// that their buffers and stacks take a third of the memory at most.
+func clientRoom(sockets int, l config.Limits) int {
+	if l.MemoryMB > 0 {
+		sockets = min(sockets, int(l.MemoryMB*(1<<20)/3/clientBytes))
+	}
+	return max(sockets, 16)
+}
+
+// limit fits the run time to the machine.
+func limit(l config.Limits) {
+	if l.Cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
+	}
+	if l.MemoryMB > 0 { // files in the state folder count as memory too
+		room := l.MemoryMB*(1<<20)*0.75 - float64(l.DiskBytes)
+		debug.SetMemoryLimit(int64(max(room, 16<<20)))
+	}
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -26,6 +26,7 @@
 // Endpoint is one line of the list, with where to reach it.
 type Endpoint struct {
 	policy.Endpoint
+	Name string // which it keeps over restarts of either side
 	Addr string
 }
 
@@ -138,7 +139,7 @@
 	if name == "" {
 		return Endpoint{}, false
 	}
-	e := Endpoint{Addr: string(s.GetStringBytes("addr"))}
+	e := Endpoint{Name: name, Addr: string(s.GetStringBytes("addr"))}
 	switch string(s.GetStringBytes("state")) {
 	case "up":
 		e.State = policy.Ready
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -13,6 +13,8 @@
 	"os"
 	"path/filepath"
 	"slices"
+
+	"sliptide/internal/statedir"
 )
 
 // How a message that was not delivered ends.
@@ -63,27 +65,28 @@
 	// and an end come to about 90 bytes.
 	entrySlack = 128
 	takenSlack = 640 // bounds what an entry takes besides its body
+	spare      = 4 * block
 )
 
 var errRecord = errors.New("bad record")
 
 // Journal is an open journal.
 type Journal struct {
-	dir   string
-	limit int64 // bytes that all files may take
-	f     *os.File
-	size  int64 // of the file
-	buf   []byte
-	live  map[uint64]*Entry
-	used  int64 // bytes that the live entries take in a fresh file
-	next  uint64
+	dir  string
+	room *statedir.Account // what all files may take
+	f    *os.File
+	size int64 // of the file
+	buf  []byte
+	live map[uint64]*Entry
+	used int64 // bytes that the live entries take in a fresh file
+	next uint64
 }
 
 // Open replays the journal in dir and compacts it. It returns the live entries
 // in the order in which they were taken. A torn or damaged tail is left out: it
 // was never answered for.
-func Open(dir string, limit int64) (*Journal, []*Entry, error) {
-	j := &Journal{dir: dir, limit: limit - 4*block, live: map[uint64]*Entry{}, next: 1}
+func Open(dir string, room *statedir.Account) (*Journal, []*Entry, error) {
+	j := &Journal{dir: dir, room: room, live: map[uint64]*Entry{}, next: 1}
 	// A copy that was not finished when the process died; the journal itself is whole.
 	if err := os.Remove(j.path(copyName)); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, nil, fmt.Errorf("journal: %w", err)
@@ -100,6 +103,7 @@
 	if err := j.compact(); err != nil {
 		return nil, nil, fmt.Errorf("journal: %w", err)
 	}
+	j.claim(0, 0)
 	return j, j.entries(), nil
 }
 
@@ -126,17 +130,34 @@
 }
 
 // Room reports whether a further entry of that size may be taken. The file, what
-// is to be added to it and a compacted copy must fit the limit together at any
+// is to be added to it and a compacted copy must fit the room together at any
 // time: a burst of large messages could otherwise leave no room for the copy.
 func (j *Journal) Room(body int) bool {
 	need := int64(body) + takenSlack
-	if 2*(j.used+need)+j.slack(1) > j.limit*9/10 {
-		return false // not even after a compaction
-	}
-	if j.size+int64(len(j.buf))+j.used+2*need+j.slack(1) <= j.limit {
+	if j.claim(need, 1) {
 		return true
 	}
-	return j.compact() == nil
+	return j.least(need, 1) <= j.room.Limit() && j.compact() == nil && j.claim(need, 1)
+}
+
+// claim claims what the file and a compacted copy may take with a further entry of that size. It fails
+// where a compaction would make room, or nothing would: then whoever shares the folder is asked for some.
+func (j *Journal) claim(need int64, more int) bool {
+	least := j.least(need, more)
+	limit := j.room.Soft() // records that are over must not crowd out what else lies in the folder
+	if least > limit {
+		limit = j.room.Limit() // live ones may
+	}
+	whole := j.size + int64(len(j.buf)) + j.used + 2*need + j.slack(more) + spare
+	if least <= limit && whole > limit {
+		return false
+	}
+	return j.room.Claim(max(least, whole))
+}
+
+// least is what the folder must have room for after a compaction, with a tenth to spare.
+func (j *Journal) least(need int64, more int) int64 {
+	return (2*(j.used+need)+j.slack(more))*10/9 + spare
 }
 
 // slack is what the live entries, and some more, may still write in small records.
@@ -223,7 +244,7 @@
 	if len(j.buf) == 0 {
 		return nil
 	}
-	if j.size+int64(len(j.buf))+j.used+j.slack(0) > j.limit {
+	if !j.claim(0, 0) {
 		if err := j.compact(); err != nil {
 			return fmt.Errorf("journal: %w", err)
 		}
@@ -302,16 +323,12 @@
 
 // replay applies the records of text up to the first that is not whole.
 func (j *Journal) replay(text []byte) {
-	for len(text) >= headSize {
-		n := int64(binary.BigEndian.Uint32(text))
-		if n > int64(len(text)-headSize) {
-			return
-		}
-		payload := text[headSize : headSize+n]
-		if crc32.ChecksumIEEE(payload) != binary.BigEndian.Uint32(text[4:]) || j.apply(payload) != nil {
+	for {
+		n, err := j.replayOne(text)
+		if err != nil {
 			return
 		}
-		text = text[headSize+n:]
+		text = text[n:]
 	}
 }
 
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -6,11 +6,13 @@
 	"path/filepath"
 	"reflect"
 	"testing"
+
+	"sliptide/internal/statedir"
 )
 
 func open(t *testing.T, dir string, limit int64) (*Journal, []*Entry) {
 	t.Helper()
-	j, list, err := Open(dir, limit)
+	j, list, err := Open(dir, statedir.NewSpace(limit).Account())
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/knowledge/keeper/keeper.go
@@ -0,0 +1,233 @@
+// Package keeper writes what a sender learns to its knowledge file, on a goroutine of its own. What the
+// sender's goroutine calls never waits: it leaves facts under a lock that is held for a few map writes,
+// and no disk, however slow or full, is ever waited for with it.
+package keeper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"sliptide/internal/knowledge"
+	"sliptide/internal/knowledge/store"
+	"sliptide/internal/operator"
+	"sliptide/internal/statedir"
+)
+
+const (
+	waitsGap   = 10 * time.Millisecond // between two writes of waits: those told together share one
+	stepLeast  = 100.0                 // milliseconds that the wall clock jumped, to write waits again
+	stepLook   = time.Second
+	complainIn = 10 * time.Second // between two lines on one kind of trouble
+)
+
+// Options are what a Keeper works with.
+type Options struct {
+	Set   operator.Knowledge
+	Store *store.Store
+	Book  *knowledge.Book // as read at the start; the Keeper's own from here on
+	Room  *statedir.Account
+	Log   zerolog.Logger
+	Clock func() float64 // the sender's clock: Unix milliseconds that no step of the wall clock moves
+	Wall  func() float64 // the wall clock, in Unix milliseconds
+}
+
+// Keeper takes facts and writes them. A nil Keeper takes nothing.
+type Keeper struct {
+	o     Options
+	wake  chan struct{} // a wait was told
+	sets  chan operator.Knowledge
+	ended chan struct{}
+	done  chan struct{}
+	stop  sync.Once
+
+	mu   sync.Mutex
+	news *knowledge.Book // since the writer last looked
+
+	book     *knowledge.Book // the writer's from here on
+	shift    float64         // wall clock less the sender's, when waits were last written
+	trouble  time.Time       // when it was last told
+	written  int             // snapshots
+	shrunkAt int             // destinations left out of the last one
+}
+
+// New returns a Keeper; Run makes it write.
+func New(o Options) *Keeper {
+	return &Keeper{
+		o: o, book: o.Book, news: knowledge.New(o.Book.Sender), shift: o.Wall() - o.Clock(),
+		wake: make(chan struct{}, 1), sets: make(chan operator.Knowledge, 1), ended: make(chan struct{}), done: make(chan struct{}),
+	}
+}
+
+// Wait notes a told wait, by the sender's clock. It is on disk soon after, whatever else waits to be
+// written.
+func (k *Keeper) Wait(w knowledge.Wait) {
+	if k == nil {
+		return
+	}
+	k.mu.Lock()
+	k.news.Tell(w)
+	k.mu.Unlock()
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Learn notes what is known of destinations and, unless nil, beside them. The facts are the Keeper's.
+func (k *Keeper) Learn(list []*knowledge.Destination, general *knowledge.Book) {
+	if k == nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, d := range list {
+		k.news.Learn(d)
+	}
+	if general != nil {
+		k.news.Merge(general)
+	}
+}
+
+// Set takes new half-lives, a new time between snapshots and a new choice of sync. The room stays as it
+// was at the start.
+func (k *Keeper) Set(set operator.Knowledge) {
+	if k == nil {
+		return
+	}
+	select {
+	case k.sets <- set:
+	case <-k.done:
+	}
+}
+
+// Run writes until Close: waits at once, all else every WriteEvery.
+func (k *Keeper) Run() {
+	defer close(k.done)
+	snapshots := time.NewTicker(k.o.Set.WriteEvery)
+	defer snapshots.Stop()
+	steps := time.NewTicker(stepLook)
+	defer steps.Stop()
+	for {
+		select {
+		case <-k.ended:
+			k.snapshot()
+			return
+		case <-k.wake:
+			k.waits(false)
+			k.pause(waitsGap)
+		case <-steps.C:
+			if d := k.o.Wall() - k.o.Clock() - k.shift; d > stepLeast || d < -stepLeast {
+				k.waits(true) // those on disk are told by a clock that is no more
+			}
+		case <-snapshots.C:
+			k.snapshot()
+		case <-k.o.Room.Pressed():
+			k.yield()
+		case set := <-k.sets:
+			k.o.Set.HalfLives, k.o.Set.WriteEvery = set.HalfLives, set.WriteEvery
+			k.o.Store.SetSync(set.Sync)
+			snapshots.Reset(set.WriteEvery)
+		}
+	}
+}
+
+// pause waits, unless the Keeper ends.
+func (k *Keeper) pause(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-k.ended:
+	}
+}
+
+// Close writes a last snapshot and ends, or leaves it at what is written when ctx ends: a stop must not
+// hang on a disk.
+func (k *Keeper) Close(ctx context.Context) {
+	if k == nil {
+		return
+	}
+	k.stop.Do(func() { close(k.ended) })
+	select {
+	case <-k.done:
+	case <-ctx.Done():
+		k.o.Log.Warn().Msg("knowledge: the last snapshot was not written in time")
+	}
+}
+
+// take moves the news into the book and reports whether a wait was among them.
+func (k *Keeper) take() (waits bool) {
+	k.mu.Lock()
+	news := k.news
+	k.news = knowledge.New(news.Sender)
+	k.mu.Unlock()
+	for _, w := range news.Waits {
+		waits = k.book.Tell(w) || waits
+	}
+	news.Waits = nil
+	k.book.Merge(news)
+	return waits
+}
+
+// onDisk is the book by the wall clock, as a later life will read it: the sender's clock may have parted
+// from that since it started. Only the waits need it to the millisecond.
+func (k *Keeper) onDisk() *knowledge.Book {
+	now := k.o.Clock()
+	k.book.Expire(now, k.o.Set.HalfLives)
+	k.shift = k.o.Wall() - now
+	b := *k.book
+	b.Written = int64(k.o.Wall())
+	b.Waits = make(map[knowledge.Route]knowledge.Wait, len(k.book.Waits))
+	for r, w := range k.book.Waits {
+		w.Told += int64(k.shift)
+		w.Until += int64(k.shift)
+		b.Waits[r] = w
+	}
+	return &b
+}
+
+func (k *Keeper) waits(anyway bool) {
+	if !k.take() && !anyway {
+		return
+	}
+	k.report(k.o.Store.SaveWaits(k.onDisk()))
+}
+
+func (k *Keeper) snapshot() {
+	k.take()
+	b := k.onDisk()
+	left := b.Clone() // Fit drops from the copy: what finds no room now may find some later
+	left.Written = b.Written
+	dropped := left.Fit(k.o.Store.Room(), store.SizeOf)
+	if dropped != k.shrunkAt {
+		k.o.Log.Warn().Int("destinations", len(k.book.Dests)).Int("left_out", dropped).Msg("knowledge: room for part of it only")
+		k.shrunkAt = dropped
+	}
+	if err := k.o.Store.Save(left); err != nil {
+		k.report(err)
+		return
+	}
+	k.written++
+}
+
+// yield gives room to the journal: copies first, then the snapshot. The next one is as large as there
+// is room then.
+func (k *Keeper) yield() {
+	before := k.o.Room.Claimed()
+	k.report(k.o.Store.Shrink())
+	if k.o.Room.Claimed() == before {
+		k.report(k.o.Store.Drop())
+	}
+}
+
+// report logs trouble, now and then: knowledge that can't be written costs no message.
+func (k *Keeper) report(err error) {
+	if err == nil || time.Since(k.trouble) < complainIn {
+		return
+	}
+	k.trouble = time.Now()
+	k.o.Log.Warn().Err(err).Msg("knowledge: not written")
+}
--- /dev/null
+++ b/internal/knowledge/store/store.go
@@ -0,0 +1,249 @@
+// Package store keeps a knowledge.Book in files of the folder that lasts. Each is replaced whole: a new
+// file is written beside it and renamed into its place, so that whatever ends the process, the name
+// holds one file or the other. What can't be read is set aside, never fatal.
+//
+// It decides nothing of what is known; that is package knowledge. It is not safe for concurrent use.
+package store
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+
+	"sliptide/internal/fsys"
+	"sliptide/internal/knowledge"
+	"sliptide/internal/statedir"
+)
+
+// The files.
+const (
+	BookName  = "knowledge"       // the snapshot
+	PrevName  = "knowledge.prev"  // the one before, where there is room
+	WaitsName = "knowledge.waits" // told waits since, in the same form
+	badName   = "knowledge.bad"   // what could not be read, the last such
+	newSuffix = ".new"
+)
+
+// Names are the names of all files that a Store may write.
+var Names = []string{BookName, PrevName, WaitsName, badName, BookName + newSuffix, WaitsName + newSuffix}
+
+// Store is the files of one folder.
+type Store struct {
+	fs    fsys.FS
+	room  *statedir.Account
+	max   int64 // bytes for all files
+	sync  bool
+	sizes map[string]int64 // of the files there are, in whole blocks
+	held  map[string]bool  // files of a newer format, which are not touched
+}
+
+// Options are what a Store works with.
+type Options struct {
+	FS   fsys.FS
+	Room *statedir.Account // claims what the files take
+	Max  int64             // bytes that all files may take, one that replaces another included
+	Sync bool              // fsync files and folder before and after a rename
+}
+
+// Problem is one thing that was wrong with a file, for the log.
+type Problem struct {
+	File   string
+	Err    error
+	Aside  bool // it is now knowledge.bad, or gone if that could not be
+	Untold bool // it is of a newer format and left as it is
+}
+
+// Open reads what the folder holds, the later of what its files know. There always is a Book, if an
+// empty one.
+func Open(o Options, sender string) (*Store, *knowledge.Book, []Problem) {
+	s := &Store{fs: o.FS, room: o.Room, max: o.Max, sync: o.Sync, sizes: map[string]int64{}, held: map[string]bool{}}
+	book := knowledge.New(sender)
+	var problems []Problem
+	for _, name := range []string{BookName, WaitsName} { // copies that were not finished
+		if err := s.fs.Remove(name + newSuffix); err != nil {
+			problems = append(problems, Problem{File: name + newSuffix, Err: err})
+		}
+	}
+	read, p := s.read(BookName)
+	problems = append(problems, p...)
+	if read == nil { // else what came before it says nothing new
+		read, p = s.read(PrevName)
+		problems = append(problems, p...)
+	}
+	if read != nil {
+		book.Merge(read)
+		book.Written = read.Written
+	}
+	waits, p := s.read(WaitsName)
+	problems = append(problems, p...)
+	if waits != nil {
+		book.Merge(waits)
+	}
+	for _, name := range Names {
+		s.sizes[name] = statedir.Blocks(s.fs.Size(name))
+	}
+	if !s.claim(0) {
+		s.Shrink()
+	}
+	return s, book, problems
+}
+
+// SetSync changes whether files are synced from here on.
+func (s *Store) SetSync(sync bool) { s.sync = sync }
+
+// read reads one file; nil if there is none that can be read.
+func (s *Store) read(name string) (*knowledge.Book, []Problem) {
+	text, err := s.fs.Read(name)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	var book *knowledge.Book
+	if err == nil {
+		book, err = Decode(text)
+	}
+	if err == nil {
+		return book, nil
+	}
+	p := Problem{File: name, Err: err}
+	if errors.Is(err, ErrNewer) {
+		s.held[name], p.Untold = true, true
+		return nil, []Problem{p}
+	}
+	if err := errors.Join(s.fs.Remove(badName), s.fs.Rename(name, badName)); err != nil {
+		p.Err = errors.Join(p.Err, fmt.Errorf("cannot be set aside: %w", err))
+	} else {
+		p.Aside = true
+	}
+	return nil, []Problem{p}
+}
+
+// claim claims what the files take with so much more. The largest that a file may become while it is
+// replaced is part of more.
+func (s *Store) claim(more int64) bool {
+	total := more
+	for _, size := range s.sizes {
+		total += size
+	}
+	return total <= s.max && s.room.Claim(total)
+}
+
+// Room is how many bytes a snapshot may have now: with the waits as they are, twice it (the one that is
+// replaced, and the new one) must fit.
+func (s *Store) Room() int {
+	limit := min(s.max, s.room.Limit()) - 2*s.sizes[WaitsName]
+	return int(max(limit/2-2*headSize, 0))
+}
+
+// Save writes a snapshot of at most Room bytes. The waits' file goes, since the snapshot has them too.
+func (s *Store) Save(b *knowledge.Book) error {
+	if s.held[BookName] {
+		return fmt.Errorf("%s: %w", BookName, ErrNewer)
+	}
+	text, err := Encode(b)
+	if err != nil {
+		return err
+	}
+	need := statedir.Blocks(int64(len(text)))
+	keep := true
+	if !s.claim(need) { // what could not be read, and the generation before, go first
+		keep = false
+		if err := s.Shrink(); err != nil {
+			return err
+		}
+		if !s.claim(need) {
+			return fmt.Errorf("%s: %d bytes: %w", BookName, need, ErrNoRoom)
+		}
+	}
+	if err := s.replace(BookName, text, need, keep); err != nil {
+		return err
+	}
+	if !s.held[WaitsName] {
+		return s.remove(WaitsName)
+	}
+	return nil
+}
+
+// SaveWaits writes the waits of b alone: little, and often.
+func (s *Store) SaveWaits(b *knowledge.Book) error {
+	if s.held[WaitsName] {
+		return fmt.Errorf("%s: %w", WaitsName, ErrNewer)
+	}
+	only := knowledge.New(b.Sender)
+	only.Written, only.Waits = b.Written, b.Waits
+	text, err := Encode(only)
+	if err != nil {
+		return err
+	}
+	need := statedir.Blocks(int64(len(text)))
+	if !s.claim(need) {
+		if err := s.Shrink(); err != nil {
+			return err
+		}
+		if !s.claim(need) {
+			return fmt.Errorf("%s: %d bytes: %w", WaitsName, need, ErrNoRoom)
+		}
+	}
+	return s.replace(WaitsName, text, need, false)
+}
+
+// replace puts a file with that text in the place of name; it is claimed already. With keep, the one
+// there stays as the generation before.
+func (s *Store) replace(name string, text []byte, need int64, keep bool) error {
+	fresh := name + newSuffix
+	if err := s.fs.Write(fresh, text, s.sync); err != nil {
+		s.settle()
+		return errors.Join(fmt.Errorf("%s: %w", fresh, err), s.fs.Remove(fresh))
+	}
+	s.sizes[fresh] = need
+	if keep && s.sizes[name] > 0 {
+		if err := s.fs.Link(name, PrevName); err == nil {
+			s.sizes[PrevName] = s.sizes[name]
+		} else {
+			s.sizes[PrevName] = statedir.Blocks(s.fs.Size(PrevName))
+		}
+	}
+	if err := s.fs.Rename(fresh, name); err != nil {
+		err = errors.Join(fmt.Errorf("%s: %w", name, err), s.remove(fresh))
+		s.settle()
+		return err
+	}
+	s.sizes[name], s.sizes[fresh] = need, 0
+	if s.sync {
+		if err := s.fs.SyncDir(); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	s.settle()
+	return nil
+}
+
+// settle claims no more than the files take.
+func (s *Store) settle() { s.claim(0) }
+
+// Shrink gives up what is not needed: the generation before, and what could not be read.
+func (s *Store) Shrink() error {
+	err := errors.Join(s.remove(PrevName), s.remove(badName))
+	s.claim(0)
+	return err
+}
+
+// Drop gives up the snapshot itself: the journal needs the room. Waits stay.
+func (s *Store) Drop() error {
+	if s.held[BookName] {
+		return nil
+	}
+	err := s.remove(BookName)
+	s.claim(0)
+	return err
+}
+
+func (s *Store) remove(name string) error {
+	if s.sizes[name] == 0 {
+		return nil
+	}
+	if err := s.fs.Remove(name); err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	s.sizes[name] = 0
+	return nil
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,70 @@
+// Package operator reads the operators' file, deploy/sliptide.xml: all that is set by the people who
+// run a sender and is not in the platform's own configuration. One table (spec.go) says what the file
+// may hold; the strict reader and the XML schema both come from it, so that they cannot part.
+//
+// It reads and checks. It starts nothing, and it knows nothing of the parts that it configures.
+package operator
+
+import (
+	"fmt"
+	"time"
+)
+
+// File is what the operators have set. Whatever the file leaves out stands at its default; every part
+// is off by default.
+type File struct {
+	Ready     Ready
+	Knowledge Knowledge
+}
+
+// Ready says when a starting sender answers /up with 200.
+type Ready struct {
+	Patience time.Duration // with an empty list and no word from discovery, it is ready after so long
+}
+
+// Knowledge sets what a sender keeps of what it has learned, over its restarts.
+type Knowledge struct {
+	Enabled    bool
+	MaxSize    int64         // bytes of the folder that lasts, copies included, that knowledge may take
+	WriteEvery time.Duration // between two snapshots; told waits are written at once
+	Sync       bool          // fsync before a file takes the old one's place
+	HalfLives  HalfLives
+}
+
+// HalfLives are the times after which what was learned weighs half. docs/knowledge.md says why each
+// default is what it is. A told wait has none: it is kept to its end.
+type HalfLives struct {
+	Limit       time.Duration // a limit that a partner told
+	Pace        time.Duration // the sender's own pace there
+	Health      time.Duration // breakers, trials and ramps
+	Latency     time.Duration // call latencies
+	Control     time.Duration // a controller's theta and E[X]
+	Connections time.Duration // what connections are worth
+}
+
+// Default returns the settings of an operators' file that sets nothing.
+func Default() File {
+	var f File
+	spec().defaults(&f)
+	return f
+}
+
+// Error is one fault of an operators' file: where it is, what is wrong, what is allowed.
+type Error struct {
+	File    string
+	Line    int // 0: the whole file
+	What    string
+	Allowed string // empty if What says it all
+}
+
+// Error is the one line that a person reads.
+func (e *Error) Error() string {
+	where := e.File
+	if e.Line > 0 {
+		where = fmt.Sprintf("%s:%d", e.File, e.Line)
+	}
+	if e.Allowed == "" {
+		return fmt.Sprintf("%s: %s", where, e.What)
+	}
+	return fmt.Sprintf("%s: %s; allowed: %s", where, e.What, e.Allowed)
+}
--- /dev/null
+++ b/internal/operator/units.go
@@ -0,0 +1,123 @@
+package operator
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+)
+
+// parse reads a value. It takes whole numbers without a sign or leading zeros and with a unit, such as
+// 250ms, 7d or 256KiB, or one of the words.
+func (v *values) parse(text string) (int64, bool) {
+	for i, w := range v.words {
+		if w == text {
+			return int64(i), true
+		}
+	}
+	digits := len(text) - len(strings.TrimLeft(text, "0123456789"))
+	number, name := text[:digits], text[digits:]
+	if digits == 0 || digits > 1 && number[0] == '0' {
+		return 0, false
+	}
+	for _, u := range v.units {
+		if u.name != name {
+			continue
+		}
+		n, err := strconv.ParseInt(number, 10, 64)
+		if err != nil || n > math.MaxInt64/u.size {
+			return 0, false
+		}
+		return n * u.size, n*u.size >= v.lo && n*u.size <= v.hi
+	}
+	return 0, false
+}
+
+// String says which values there are, for a message.
+func (v *values) String() string {
+	if len(v.words) > 0 {
+		return strings.Join(v.words, ", ")
+	}
+	names := make([]string, len(v.units))
+	for i, u := range v.units {
+		names[i] = u.name
+	}
+	return fmt.Sprintf("%s to %s, as a whole number and one of %s", v.show(v.lo), v.show(v.hi), strings.Join(names, ", "))
+}
+
+// show writes n with the largest unit that leaves it whole.
+func (v *values) show(n int64) string {
+	for i := len(v.units) - 1; i >= 0; i-- {
+		if u := v.units[i]; n%u.size == 0 && n >= u.size {
+			return strconv.FormatInt(n/u.size, 10) + u.name
+		}
+	}
+	return "0" + v.units[0].name
+}
+
+// pattern is a regular expression in XML Schema's form that matches just what parse takes (XML Schema
+// Part 2, appendix F; such a pattern is anchored).
+func (v *values) pattern() string {
+	var alternatives []string
+	for _, u := range v.units {
+		lo, hi := (v.lo+u.size-1)/u.size, v.hi/u.size
+		if lo > hi {
+			continue
+		}
+		alternatives = append(alternatives, "("+strings.Join(rangePatterns(lo, hi), "|")+")"+u.name)
+	}
+	return strings.Join(alternatives, "|")
+}
+
+// rangePatterns returns patterns that together match the decimal numbers from lo to hi.
+func rangePatterns(lo, hi int64) []string {
+	var all []string
+	for lo <= hi {
+		text := strconv.FormatInt(lo, 10)
+		end := int64(math.Pow10(len(text))) - 1 // the last of as many digits
+		if end > hi || end < lo {
+			end = hi
+		}
+		all = append(all, sameLength(text, strconv.FormatInt(end, 10))...)
+		if end == hi {
+			break
+		}
+		lo = end + 1
+	}
+	return all
+}
+
+// sameLength is rangePatterns for numbers of one length.
+func sameLength(lo, hi string) []string {
+	switch {
+	case lo == hi:
+		return []string{lo}
+	case len(lo) == 1:
+		return []string{"[" + lo + "-" + hi + "]"}
+	case lo[0] == hi[0]:
+		return prefixed(lo[:1], sameLength(lo[1:], hi[1:]))
+	}
+	rest := len(lo) - 1
+	zeros, nines := strings.Repeat("0", rest), strings.Repeat("9", rest)
+	first, last := lo[0], hi[0]
+	var all, tail []string
+	if lo[1:] != zeros {
+		all = prefixed(lo[:1], sameLength(lo[1:], nines))
+		first++
+	}
+	if hi[1:] != nines {
+		tail = prefixed(hi[:1], sameLength(zeros, hi[1:]))
+		last--
+	}
+	if first <= last {
+		all = append(all, fmt.Sprintf("[%c-%c][0-9]{%d}", first, last, rest))
+	}
+	return append(all, tail...)
+}
+
+func prefixed(with string, list []string) []string {
+	for i := range list {
+		list[i] = with + list[i]
+	}
+	return list
+}
--- /dev/null
+++ b/internal/sender/clock.go
@@ -0,0 +1,23 @@
+package sender
+
+import "time"
+
+// Clock is the sender's time in milliseconds. It follows the monotonic clock, so that no step of the
+// wall clock moves a deadline; it starts at Unix time, which is what the journal's deadlines and the
+// knowledge file's times are told in.
+type Clock struct {
+	start   time.Time
+	startMS float64
+}
+
+// NewClock returns a Clock that starts now.
+func NewClock() Clock {
+	now := time.Now()
+	return Clock{now, float64(now.UnixNano()) / 1e6}
+}
+
+// Now is the time.
+func (c Clock) Now() float64 { return c.startMS + float64(time.Since(c.start))/1e6 }
+
+// Wall is the wall clock in Unix milliseconds, which may have been stepped since.
+func Wall() float64 { return float64(time.Now().UnixNano()) / 1e6 }
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -106,6 +106,8 @@
 	Journal  *journal.Journal
 	Restored []*journal.Entry
 	Notices  func(discovery.Notice)
+	Memory   Memory
+	Clock    Clock
 	Log      zerolog.Logger
 }
 
@@ -120,9 +122,9 @@
 	in      chan input
 	done    chan struct{}
 
-	start   time.Time // of the clock, which is monotonic
-	startMS float64   // and stands at Unix time then
-	now     float64
+	clock  Clock
+	now    float64
+	memory memory
 
 	msgs    map[uint64]*message // taken on and not over, and not waiting for a notice
 	traces  map[string]uint64
@@ -162,7 +164,7 @@
 		set: o.Settings, mod: policy.New(o.Settings, o.Seed), log: o.Log,
 		journal: o.Journal, notices: o.Notices,
 		in: make(chan input, queued), done: make(chan struct{}),
-		start:  time.Now(),
+		clock:  o.Clock,
 		msgs:   map[uint64]*message{},
 		traces: map[string]uint64{},
 		past:   past{ids: map[string]bool{}},
@@ -172,7 +174,6 @@
 		calls:  map[*outbound.Call]bool{},
 		timer:  time.NewTimer(time.Hour),
 	}
-	s.startMS = float64(s.start.UnixNano()) / 1e6
 	s.pool = outbound.NewPool(outbound.Options{
 		MaxConns:    o.Sockets,
 		KeepAlive:   or(millis(o.Settings.KeepAlive), 30*time.Second),
@@ -181,6 +182,7 @@
 		Done: func(c *outbound.Call, events []policy.Event) { s.in <- input{call: c, events: events} },
 	})
 	s.tick()
+	s.remember(o.Memory)
 	for _, e := range o.Restored {
 		s.restore(e)
 	}
@@ -198,12 +200,7 @@
 
 func millis(ms float64) time.Duration { return time.Duration(ms * 1e6) }
 
-// clock is the time in milliseconds. It follows the monotonic clock, so that no
-// step of the wall clock moves a deadline; it starts at Unix time, which is what
-// the journal's deadlines are told in.
-func (s *Sender) clock() float64 { return s.startMS + float64(time.Since(s.start))/1e6 }
-
-func (s *Sender) tick() { s.now = s.clock() }
+func (s *Sender) tick() { s.now = s.clock.Now() }
 
 // restore takes up a message of an earlier life.
 func (s *Sender) restore(e *journal.Entry) {
@@ -272,6 +269,7 @@
 // Run steps the module until the sender has stopped.
 func (s *Sender) Run() {
 	defer close(s.done)
+	defer s.tell(true)
 	round := millis(s.set.Round)
 	for !s.left() {
 		s.gather()
@@ -381,10 +379,12 @@
 func (s *Sender) takeOutcome(c *outbound.Call, events []policy.Event) {
 	delete(s.calls, c)
 	s.events = append(s.events, events...)
+	s.noteCall(c)
 	for i := range events {
 		e := &events[i]
 		if e.Wait > 0 {
 			s.hold(c)
+			s.noteWait(c, e.Wait)
 		}
 		m := s.msgs[e.ID]
 		if m == nil || m.call != c {
@@ -402,8 +402,7 @@
 // hold keeps calls back that still wait for their connection when a wait is told:
 // they would reach the destination inside it.
 func (s *Sender) hold(told *outbound.Call) {
-	kind := s.addrs[told.Endpoint].Kind
-	apart := kind < len(s.set.Kinds) && s.set.Kinds[kind].OwnLimits
+	apart := s.apart(told.Endpoint)
 	for c := range s.calls {
 		if c.Dest == told.Dest && (!apart || c.Endpoint == told.Endpoint) {
 			s.drop(c)
@@ -419,6 +418,7 @@
 }
 
 func (s *Sender) takeList(l *discovery.List) {
+	s.recall(l)
 	ev := policy.Event{Kind: policy.EvList, FullList: l.Full}
 	listed := make(map[uint32]bool, len(l.Entries))
 	for _, e := range l.Entries {
@@ -492,6 +492,7 @@
 	}
 	s.answer(err == nil)
 	s.dispatch(err == nil)
+	s.tell(false)
 	s.arm()
 }
 
@@ -651,17 +652,20 @@
 func (s *Sender) arm() {
 	wait := time.Hour
 	if s.token != 0 {
-		wait = millis(s.timerAt - s.clock())
+		wait = millis(s.timerAt - s.clock.Now())
 	}
 	for c := range s.calls {
 		for i := range c.Items {
 			if m := s.msgs[c.Items[i].ID]; len(c.Items) > 1 && m != nil && m.call == c {
-				wait = min(wait, millis(min(m.cutAt-s.clock(), 1e6)))
+				wait = min(wait, millis(min(m.cutAt-s.clock.Now(), 1e6)))
 			}
 		}
 	}
 	if !s.stopAt.IsZero() {
 		wait = min(wait, 50*time.Millisecond)
 	}
+	if at, due := s.tellAt(); due {
+		wait = min(wait, millis(at-s.clock.Now()))
+	}
 	s.timer.Reset(max(wait, 0))
 }
--- /dev/null
+++ b/internal/statedir/statedir.go
@@ -0,0 +1,134 @@
+// Package statedir keeps order in the folder that outlasts a sender's process: a lock, so that two
+// processes never work in one folder, and the account of its room, which journal and knowledge share.
+// It touches no file but the lock.
+package statedir
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	lockName  = "lock"
+	lockPause = 50 * time.Millisecond
+	block     = 512 // a file takes whole blocks of this
+)
+
+// ErrInUse is the error of Lock where another process holds the folder.
+var ErrInUse = errors.New("another sender works in this folder")
+
+// Lock takes the folder dir for this process, until Unlock or the process's end, however that comes.
+// A predecessor may still be leaving: it is waited for as long as patience. The lock belongs to the
+// open file (flock), so no stale one can be left behind.
+func Lock(dir string, patience time.Duration) (*Locked, error) {
+	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("state folder: %w", err)
+	}
+	for end := time.Now().Add(patience); ; time.Sleep(lockPause) {
+		err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+		switch {
+		case err == nil:
+			return &Locked{f}, nil
+		case err != syscall.EWOULDBLOCK && err != syscall.EINTR:
+			f.Close()
+			return nil, fmt.Errorf("state folder %s: lock: %w", dir, err)
+		case !time.Now().Before(end):
+			f.Close()
+			return nil, fmt.Errorf("state folder %s: %w", dir, ErrInUse)
+		}
+	}
+}
+
+// Locked is a folder that this process holds.
+type Locked struct{ f *os.File }
+
+// Unlock lets the folder go.
+func (l *Locked) Unlock() error { return l.f.Close() }
+
+// Blocks is what a file of that many bytes takes of the room: whole blocks.
+func Blocks(bytes int64) int64 { return (bytes + block - 1) / block * block }
+
+// Space is the room of the folder. Each holder claims what it may need at most, copies included, before
+// it writes; the claims together never pass the total. It is safe for concurrent use, and no call waits
+// for a disk.
+type Space struct {
+	mu      sync.Mutex
+	total   int64
+	claimed int64
+	kept    int64 // kept back for those that yield
+}
+
+// NewSpace returns a Space of that many bytes.
+func NewSpace(total int64) *Space { return &Space{total: total} }
+
+// Account returns a further holder, with nothing claimed.
+func (s *Space) Account() *Account { return &Account{space: s, short: make(chan struct{}, 1)} }
+
+// Account is what one holder has claimed.
+type Account struct {
+	space *Space
+	mine  int64
+	short chan struct{}
+	other *Account // that yields
+}
+
+// YieldTo makes a the account that gives way: when b's claim finds no room, a's Pressed says so.
+func (a *Account) YieldTo(b *Account) { b.other = a }
+
+// Claim sets the claim to that many bytes if the others leave so much, and reports whether they did.
+// Where they did not, the claim stays as it was, and the account that yields is told.
+func (a *Account) Claim(bytes int64) bool {
+	s := a.space
+	s.mu.Lock()
+	ok := bytes <= a.mine || s.claimed-a.mine+bytes <= s.total
+	if ok {
+		s.claimed += bytes - a.mine
+		a.mine = bytes
+	}
+	s.mu.Unlock()
+	if !ok && a.other != nil {
+		select {
+		case a.other.short <- struct{}{}:
+		default:
+		}
+	}
+	return ok
+}
+
+// Reserve keeps so many bytes back for the account: others' Soft leaves them out. It is no claim: who
+// must have them still gets them.
+func (a *Account) Reserve(bytes int64) {
+	a.space.mu.Lock()
+	defer a.space.mu.Unlock()
+	a.space.kept = bytes
+}
+
+// Soft is how much the account may take for what it could do without, such as records that are over.
+func (a *Account) Soft() int64 {
+	a.space.mu.Lock()
+	defer a.space.mu.Unlock()
+	return a.space.total - max(a.space.kept, a.space.claimed-a.mine)
+}
+
+// Claimed is the present claim.
+func (a *Account) Claimed() int64 {
+	a.space.mu.Lock()
+	defer a.space.mu.Unlock()
+	return a.mine
+}
+
+// Limit is how much the account could claim now.
+func (a *Account) Limit() int64 {
+	a.space.mu.Lock()
+	defer a.space.mu.Unlock()
+	return a.space.total - a.space.claimed + a.mine
+}
+
+// Pressed tells when another account found no room.
+func (a *Account) Pressed() <-chan struct{} { return a.short }
--- a/policy/api.go
+++ b/policy/api.go
@@ -110,6 +110,7 @@
 	EvWithdrawn                  // ID
 	EvTimer                      // Token
 	EvProbe                      // Endpoint, Outcome, Latency, Report
+	EvFacts                      // Facts, of an earlier life, on what lists of this same step name for the first time
 )
 
 // Outcome tells how an attempt ended.
@@ -156,6 +157,7 @@
 	List     []Endpoint
 	FullList bool // List replaces the list held before
 	Failed   bool
+	Facts    []DestFacts
 }
 
 // ActionKind tells the actions apart.
--- /dev/null
+++ b/policy/facts.go
@@ -0,0 +1,228 @@
+package policy
+
+// This file tells what a Sender has learned and takes it up again in a later life. It is bookkeeping: it
+// copies state out and in, and decides nothing. Times are on the caller's clock; what they mean in a later
+// life, and how much of it still holds, is the caller's matter (internal/knowledge).
+
+import (
+	"math"
+	"slices"
+)
+
+// Health is the state of an endpoint's circuit breaker.
+type Health uint8
+
+// The states.
+const (
+	Healthy Health = Health(closed)
+	Broken  Health = Health(open)
+	Ramping Health = Health(ramping)
+)
+
+// RouteFacts are what is known of a limit: a destination's, or an endpoint's where routes are apart.
+type RouteFacts struct {
+	WaitUntil float64 // told: nothing goes before; 0 = none
+	Told      float64 // the whole limit in calls a second, as told; 0 = none
+	Reported  bool    // by the partner, not only by the list
+	Pace      float64 // own pace in calls a second; 0 = none
+	LastOK    float64 // when a call last succeeded
+	Tried     float64 // calls a second of late,
+	Accepted  float64 // those taken on,
+	Delivered float64 // and messages delivered
+}
+
+// LatencyFacts are a smoothed latency, its mean deviation, and the calls that they come from.
+type LatencyFacts struct {
+	Mean, Dev float64
+	N         int
+}
+
+// ControlFacts are a destination's admission controller.
+type ControlFacts struct {
+	Seen   float64 // when a message last came
+	Lambda float64 // messages a millisecond; 0 = not known
+	EX     float64
+	Theta  [2]float64
+	P      [2][2]float64
+	Pam    float64
+	Pa     float64
+}
+
+// EndpointFacts are what is known of one endpoint.
+type EndpointFacts struct {
+	ID        uint32
+	Health    Health
+	Fails     int     // failures in a row
+	FailAt    float64 // the last of them
+	FailShare float64
+	Hung      bool // the last failure was silence,
+	Mute      bool // no answer,
+	Leaks     bool // or an answer
+	Trials    int
+	OpenAt    float64
+	NextTrial float64
+	RampAt    float64
+	Base      float64 // own delivered rate before the outage
+	LastOK    float64 // -Inf: never
+	Apart     *RouteFacts
+}
+
+// DestFacts are what is known of one destination.
+type DestFacts struct {
+	Dest      int
+	Shared    *RouteFacts // the limit that its endpoints share; nil where each has its own
+	Latency   LatencyFacts
+	Control   ControlFacts
+	Endpoints []EndpointFacts // by rising ID
+}
+
+// DialFacts are how connecting to one kind of destination fares.
+type DialFacts struct {
+	Failed     float64
+	ShortUntil float64
+}
+
+// GeneralFacts are what belongs to no one destination.
+type GeneralFacts struct {
+	Usual    []LatencyFacts // by class
+	Dials    []DialFacts    // by kind
+	Stale    float64        // failing share of calls on idle connections
+	StaleGap float64        // shortest idle time of those that failed; 0 = none
+}
+
+// FreshControl is a controller that has learned nothing: the prior of a remembered one.
+func FreshControl() ControlFacts {
+	var c controller
+	c.reset(0)
+	return c.facts()
+}
+
+// Facts tells what is known of a destination, and false if there is none of that number.
+func (s *Sender) Facts(dest int) (DestFacts, bool) {
+	d := s.dests[dest]
+	if d == nil {
+		return DestFacts{}, false
+	}
+	f := DestFacts{Dest: dest, Latency: d.lat.facts(), Control: d.ctl.facts()}
+	if d.shared != nil {
+		f.Shared = d.shared.facts(s.now)
+	}
+	f.Endpoints = make([]EndpointFacts, 0, len(d.eps))
+	for _, ep := range d.eps {
+		e := EndpointFacts{
+			ID: ep.id, Health: Health(ep.state), Fails: ep.fails, FailAt: ep.failAt, FailShare: ep.failShare,
+			Hung: ep.hung, Mute: ep.mute, Leaks: ep.leaks, Trials: ep.trials, OpenAt: ep.openAt,
+			NextTrial: ep.nextTrial, RampAt: ep.rampAt, Base: ep.base, LastOK: ep.lastOK,
+		}
+		if ep.route != d.shared {
+			e.Apart = ep.route.facts(s.now)
+		}
+		f.Endpoints = append(f.Endpoints, e)
+	}
+	return f, true
+}
+
+// GeneralFacts tells what belongs to no one destination.
+func (s *Sender) GeneralFacts() GeneralFacts {
+	g := GeneralFacts{Stale: s.stale}
+	if !math.IsInf(s.staleGap, 0) {
+		g.StaleGap = s.staleGap
+	}
+	for i := range s.usual {
+		g.Usual = append(g.Usual, s.usual[i].facts())
+	}
+	for i := range s.dials {
+		g.Dials = append(g.Dials, DialFacts{s.dials[i].failed, s.dials[i].shortUntil})
+	}
+	return g
+}
+
+// RecallGeneral takes up what belongs to no one destination, before the first Step.
+func (s *Sender) RecallGeneral(g GeneralFacts) {
+	for i := range min(len(g.Usual), len(s.usual)) {
+		s.usual[i].recall(g.Usual[i])
+	}
+	for i := range min(len(g.Dials), len(s.dials)) {
+		s.dials[i].failed, s.dials[i].shortUntil = g.Dials[i].Failed, g.Dials[i].ShortUntil
+	}
+	if s.stale = g.Stale; g.StaleGap > 0 {
+		s.staleGap = g.StaleGap
+	}
+}
+
+// recall keeps the facts of an event until this step's lists have named the endpoints that they are of.
+func (s *Sender) recall(list []DestFacts) {
+	s.recalled = map[int]*DestFacts{}
+	for i := range list {
+		s.recalled[list[i].Dest] = &list[i]
+	}
+}
+
+// recallEndpoint gives a new endpoint what is known of it and, if it is the first there, its destination.
+func (s *Sender) recallEndpoint(ep *endpoint) {
+	f := s.recalled[ep.dest.id]
+	if f == nil {
+		return
+	}
+	if d := ep.dest; len(d.eps) == 1 {
+		d.lat.recall(f.Latency)
+		d.ctl.recall(f.Control, s.now)
+		if d.shared != nil && f.Shared != nil {
+			d.shared.recall(f.Shared, s.now)
+		}
+	}
+	i := slices.IndexFunc(f.Endpoints, func(e EndpointFacts) bool { return e.ID == ep.id })
+	if i < 0 {
+		return
+	}
+	e := &f.Endpoints[i]
+	ep.state, ep.fails, ep.failAt, ep.failShare = breaker(min(e.Health, Ramping)), e.Fails, e.FailAt, e.FailShare
+	ep.hung, ep.mute, ep.leaks, ep.trials = e.Hung, e.Mute, e.Leaks, e.Trials
+	ep.openAt, ep.nextTrial, ep.rampAt, ep.base, ep.lastOK = e.OpenAt, e.NextTrial, e.RampAt, e.Base, e.LastOK
+	// Its ramp goes on, but what it saved up of its budget is taken as spent.
+	ep.budget = bucket{0, s.now}
+	if ep.route != ep.dest.shared && e.Apart != nil {
+		ep.route.recall(e.Apart, s.now)
+	}
+}
+
+func (r *route) facts(now float64) *RouteFacts {
+	f := &RouteFacts{
+		Told: r.told, Reported: r.reported, Pace: r.limit, LastOK: r.lastOK,
+		Tried: r.tried.get(now), Accepted: r.accepted.get(now), Delivered: r.delivered.get(now),
+	}
+	if r.waitUntil > now {
+		f.WaitUntil = r.waitUntil
+	}
+	return f
+}
+
+func (r *route) recall(f *RouteFacts, now float64) {
+	r.waitUntil, r.told, r.reported, r.limit, r.lastOK = f.WaitUntil, f.Told, f.Reported, f.Pace, f.LastOK
+	r.tried, r.accepted, r.delivered = meter{f.Tried, now}, meter{f.Accepted, now}, meter{f.Delivered, now}
+	r.grownAt = now
+}
+
+func (l *latency) facts() LatencyFacts { return LatencyFacts{l.mean, l.dev, l.n} }
+
+func (l *latency) recall(f LatencyFacts) {
+	if f.N > 0 {
+		l.mean, l.dev, l.n = f.Mean, f.Dev, f.N
+	}
+}
+
+func (c *controller) facts() ControlFacts {
+	return ControlFacts{Seen: c.seen, Lambda: c.lambda, EX: c.ex, Theta: c.theta, P: c.p, Pam: c.pam, Pa: c.pa}
+}
+
+// recall starts a period with what is known; the error and correction of the last one are not.
+func (c *controller) recall(f ControlFacts, now float64) {
+	arrivals := c.arrivals // restored messages may have come first
+	c.reset(now)
+	if c.arrivals = arrivals; arrivals == 0 {
+		c.seen = min(f.Seen, now)
+	}
+	c.lambda, c.ex, c.theta, c.p = f.Lambda, f.EX, f.Theta, f.P
+	c.pam, c.pa = f.Pam, min(max(f.Pa, minAdmit), 1)
+	c.theta[1] = max(c.theta[1], theta2Floor)
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,13 +30,11 @@
 	minAdmit    = 0.1     // the paper's clamp
 	ageAfter    = 30000.0 // an idle destination's controller starts afresh
 	drefShare   = 0.1     // Dref is at least this share of the aim
-
-	latGain   = 0.2    // EWMA weight of a call's latency
-	latDevs   = 4.0    // mean deviations that a usual call stays under
-	timeoutOf = 3.0    // a time-out is so many times mean + 4 deviations; slow calls still work
-	timeoutLo = 2500.0 // and never under this
-	suspectLo = 1200.0 // the oldest call out this long at least before its endpoint is suspect
-
+	latGain     = 0.2     // EWMA weight of a call's latency
+	latDevs     = 4.0     // mean deviations that a usual call stays under
+	timeoutOf   = 3.0     // a time-out is so many times mean + 4 deviations; slow calls still work
+	timeoutLo   = 2500.0  // and never under this
+	suspectLo   = 1200.0  // the oldest call out this long at least before its endpoint is suspect
 	meterTau    = 6000.0  // memory of the rate meters
 	fewSenders  = 8       // so few share a limit in parts that each can measure
 	paceBusy    = 1.0     // calls a second on a route over which a sender sees enough to judge it by itself:
@@ -111,6 +109,8 @@
 		switch e.Kind {
 		case EvList:
 			s.list(e)
+		case EvFacts:
+			s.recall(e.Facts)
 		case EvMessage:
 			s.take(e)
 		case EvOutcome:
@@ -164,6 +164,7 @@
 		if ep == nil {
 			ep = s.newEndpoint(l)
 			s.inherit(ep)
+			s.recallEndpoint(ep)
 			if r := ep.route; s.set.Rated && r.told == 0 && l.Rating > 0 && !math.IsInf(l.Rating, 0) {
 				r.told, r.limit = l.Rating, l.Rating
 			}
--- a/policy/state.go
+++ b/policy/state.go
@@ -228,6 +228,7 @@
 	askAt    float64
 	logAt    float64
 	out      []Action
+	recalled map[int]*DestFacts // of an earlier life, for the lists of this step; by destination
 }
 
 func (s *Sender) destOf(id int) *dest {
@@ -553,6 +554,7 @@
 
 // sweep forgets endpoints that are gone for long, and keys whose rest is over and that no message holds.
 func (s *Sender) sweep() {
+	s.recalled = nil
 	for len(s.gone) > 0 && (s.gone[0].goneAt == 0 || s.now-s.gone[0].goneAt > forgetAfter) {
 		if ep := s.gone[0]; ep.goneAt > 0 && s.eps[ep.id] == ep {
 			s.forget(s.gone[0])
--- a/test.sh
+++ b/test.sh
@@ -1,9 +1,17 @@
 #!/usr/bin/env bash
 # All checks of the repository: format, vet, the size of the policy, tests under the race detector.
+# It installs what they need beside Go: xmllint, which judges the operators' file by its schema.
 set -euo pipefail
 cd "$(dirname "$0")"
 export GOFLAGS=-mod=mod GOTOOLCHAIN=local
-unformatted=$(gofmt -l policy internal cmd 2>/dev/null || true)
+if ! command -v xmllint >/dev/null; then
+	if [ "$(id -u)" != 0 ]; then
+		echo "xmllint is needed: apt-get install libxml2-utils" >&2
+		exit 1
+	fi
+	{ apt-get update -qq && apt-get install -y -qq libxml2-utils; } >/dev/null
+fi
+unformatted=$(gofmt -l policy internal cmd example)
 if [ -n "$unformatted" ]; then
 	echo "not formatted: $unformatted" >&2
 	exit 1
