--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint fuzz run toy clean
+.PHONY: build test lint fuzz crash measure bench generate run toy clean
 
 build: ## the program and the simulator's adapter, into bin/
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -14,10 +14,25 @@
 	go test ./internal/http1 -run '^$$' -fuzz FuzzMessages -fuzztime 30s
 	go test ./internal/journal -run '^$$' -fuzz FuzzReplay -fuzztime 30s
 	go test ./policy -run '^$$' -fuzz . -fuzztime 30s
+	go test ./internal/operator -run '^$$' -fuzz FuzzRead -fuzztime 30s
+	go test ./internal/knowledge/store -run '^$$' -fuzz FuzzDecode -fuzztime 30s
+
+crash: ## a process killed 1,000 times while it writes under load (about five minutes)
+	SLIPTIDE_CRASHES=1000 go test ./cmd/sliptide -count=1 -timeout 30m -v -run TestKilledWhileWriting | grep -v '"level"'
+
+measure: ## the tables of docs/: restarts and cost, with knowledge off and on (about two minutes)
+	SLIPTIDE_MEASURE=1 go test ./cmd/sliptide -count=1 -timeout 30m -v -run TestMeasure | grep measure_test
+
+bench: ## bytes and time of a snapshot by size
+	go test ./internal/knowledge/store -run '^$$' -bench . -benchmem
+
+generate: ## the schema and the protobuf code, after their sources have changed
+	go run ./cmd/sliptide schema > deploy/sliptide.xsd.new && mv deploy/sliptide.xsd.new deploy/sliptide.xsd
+	cd internal/knowledge/pb && protoc --go_out=. --go_opt=paths=source_relative knowledge.proto
 
 run: build ## a sender with the example's configuration; `make toy` is the world round it
 	mkdir -p state
-	RELAY_CONFIG=example/config.json RELAY_STATE=state bin/sliptide
+	RELAY_CONFIG=example/config.json RELAY_STATE=state bin/sliptide run --operator example/sliptide.xml
 
 toy:
 	go run ./example/toy
--- a/cmd/sliptide/knowledge_test.go
+++ b/cmd/sliptide/knowledge_test.go
@@ -305,7 +305,6 @@
 				}
 				ms := 200 + answers.IntN(1500)
 				c.answer <- func(w http.ResponseWriter, _ *http.Request) {
-					w.Header().Set("Content-Length", "0")
 					w.Header().Set("Retry-After", fmt.Sprintf("%.3f", float64(ms)/1000))
 					w.WriteHeader(429)
 					w.(http.Flusher).Flush()
--- a/cmd/sliptide/rig_test.go
+++ b/cmd/sliptide/rig_test.go
@@ -36,7 +36,11 @@
 		panic(err)
 	}
 	binary = filepath.Join(dir, "sliptide")
-	if out, err := exec.Command("go", "build", "-race", "-o", binary, ".").CombinedOutput(); err != nil {
+	args := []string{"build", "-race", "-o", binary, "."}
+	if os.Getenv("SLIPTIDE_MEASURE") != "" { // what is measured is the program as it is deployed
+		args = []string{"build", "-o", binary, "."}
+	}
+	if out, err := exec.Command("go", args...).CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%s", out)
 		os.Exit(1)
 	}
@@ -193,6 +197,13 @@
 	return r
 }
 
+// partner starts a server that answers by itself.
+func (r *rig) partner(id string, cell int, h http.HandlerFunc) endpoint {
+	s := httptest.NewServer(h)
+	r.t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return endpoint{ID: id, Addr: s.Listener.Addr().String(), Zone: "a", Kind: "one", Cell: cell, State: "up"}
+}
+
 // endpoint starts a server that passes its calls to the test.
 func (r *rig) endpoint(id, kind string, cell int) endpoint {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -147,7 +147,7 @@
 	case m.chunked && request:
 		return ErrNoLength
 	case m.chunked:
-		return r.chunks(len(head))
+		return r.chunks(bytes.Clone(head)) // the reads of chunks move the buffer under it
 	case n < 0 && request:
 		r.use = len(head)
 		if bytes.Equal(m.Method, []byte("GET")) || bytes.Equal(m.Method, []byte("HEAD")) {
@@ -238,11 +238,11 @@
 	}
 }
 
-// chunks reads a chunked body behind the head of a response.
-func (r *Reader) chunks(head int) error {
-	r.br.Discard(head)
+// chunks reads a chunked body behind the head of a response. The headers stay: a wait or a report may be
+// told in a chunked answer too (a server that flushes before its end sends one).
+func (r *Reader) chunks(head []byte) error {
+	r.br.Discard(len(head))
 	m := &r.msg
-	status, closes := m.Status, m.Close
 	var body []byte
 	for {
 		line, err := r.br.ReadSlice('\n')
@@ -276,7 +276,10 @@
 			break
 		}
 	}
-	*m = Message{Status: status, Close: closes, Body: body}
+	if err := m.parse(head, false); err != nil {
+		return err
+	}
+	m.Body = body
 	return nil
 }
 
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -37,6 +37,18 @@
 	}
 }
 
+// A chunked answer keeps its headers, however it arrives: a told wait that is lost with them is not kept.
+func TestChunkedKeepsHeaders(t *testing.T) {
+	text := "HTTP/1.1 429 Too Many\r\nRetry-After: 1.5\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n" +
+		"2000\r\n" + strings.Repeat("x", 0x2000) + "\r\n0\r\n\r\n"
+	for name, src := range map[string]io.Reader{"whole": strings.NewReader(text), "by bytes": iotest.OneByteReader(strings.NewReader(text))} {
+		m, err := NewReader(src).Response()
+		if err != nil || string(m.Headers.Get("Retry-After")) != "1.5" || !m.Close || m.Status != 429 || len(m.Body) != 0x2000 {
+			t.Errorf("%s: %d %q, closes %t, %d bytes, %v", name, m.Status, m.Headers.Get("Retry-After"), m.Close, len(m.Body), err)
+		}
+	}
+}
+
 // A body that outgrows the buffer moves the head: its slices must still be right,
 // and the next message must begin where this one ended.
 func TestPipelined(t *testing.T) {
