HTTP/2 client connection by frames, placing of streams, and a scripted stand-in partner

Need: some partners offer HTTP/2, and a sender must know which requests a closing partner never ran. Nothing switches it on yet.

--- a/internal/outbound/answer.go
+++ b/internal/outbound/answer.go
@@ -6,7 +6,8 @@
 	"strconv"
 	"time"
 
-	"sliptide/internal/http1"
+	"github.com/valyala/fastjson"
+
 	"sliptide/policy"
 )
 
@@ -18,21 +19,21 @@
 	report  []float64
 }
 
-// answer maps a response as the protocol's table does. A status that it does not
-// name counts as an error that may have run.
-func (p *Pool) answer(m *http1.Message, single bool) answer {
-	a := answer{outcome: policy.Error, report: p.report(m.Headers.Get("Endpoint-Load-Metrics"))}
-	if v, err := strconv.ParseFloat(string(m.Headers.Get("Retry-After")), 64); err == nil && v > 0 && v < 1e6 {
+// answer maps a response, over HTTP/1.1 or HTTP/2, as the protocol's table does. get returns a header of
+// a name in lower case. A status that the table does not name counts as an error that may have run.
+func (p *Pool) answer(status int, get func(string) string, single bool) answer {
+	a := answer{outcome: policy.Error, report: p.report([]byte(get("endpoint-load-metrics")))}
+	if v, err := strconv.ParseFloat(get("retry-after"), 64); err == nil && v > 0 && v < 1e6 {
 		a.wait = math.Ceil(v * 1000)
 	}
-	switch m.Status {
+	switch status {
 	case 200:
 		a.outcome = policy.OK
 	case 429:
 		a.outcome = policy.Full
 	case 503:
 		a.outcome = policy.Full
-		if m.Headers.Get("X-Egress-Full") != nil {
+		if get("x-egress-full") != "" {
 			a.outcome = policy.Moot
 		}
 	case 504:
@@ -85,9 +86,9 @@
 
 // each reads the end of each message from the answer to a bulk call. One that
 // the answer does not name may have run.
-func (k *conn) each(c *Call, body []byte, all answer) []policy.Event {
+func each(parser *fastjson.Parser, c *Call, body []byte, all answer) []policy.Event {
 	ends := make(map[string]answer, len(c.Items))
-	if v, err := k.parser.ParseBytes(body); err == nil {
+	if v, err := parser.ParseBytes(body); err == nil {
 		for _, item := range v.GetArray() {
 			if a, ok := states[string(item.GetStringBytes("state"))]; ok {
 				a.wait, a.report = all.wait, all.report
--- /dev/null
+++ b/internal/outbound/mux.go
@@ -0,0 +1,409 @@
+package outbound
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"sliptide/internal/h2"
+	"sliptide/internal/h2/placing"
+	"sliptide/internal/http1"
+	"sliptide/policy"
+)
+
+// mux is the HTTP/2 connections to one endpoint, and the calls that wait for one of them. Where a request
+// goes is decided by package placing; what its end means is fates.
+type mux struct {
+	pool     *Pool
+	partner  *Partner
+	endpoint uint32
+	addr     string
+
+	mu      sync.Mutex
+	place   placing.Pool
+	conns   map[int]*h2.Conn
+	waiting []*Call
+	born    map[int]int // answers so far when a connection was dialled
+	answers int         // whole ones
+	plain   bool        // the partner chose HTTP/1.1 by ALPN
+	closing bool
+}
+
+// fates is what the end of a stream means to the decision module (RFC 9113 8.7; the protocol page's table).
+// A whole answer means what its status says. An answer with 200 for a single message is true as soon as its
+// head is there, whatever comes of the stream.
+var fates = map[h2.Fate]policy.Outcome{
+	h2.NeverRan:  policy.ConnectFailed, // the last byte was not written
+	h2.GoneAway:  policy.Moot,          // the peer closes in good order: nothing is wrong with it, another connection may take it
+	h2.Refused:   policy.Full,          // it has no room for it now
+	h2.Broken:    policy.Reset,         // it may have run
+	h2.Silent:    policy.Timeout,       // it may have run, and the peer says nothing
+	h2.Cancelled: policy.Timeout,       // given up by us
+	h2.Spoilt:    policy.Error,         // answered, if in no way that can be read
+}
+
+func newMux(p *Pool, partner *Partner, c *Call) *mux {
+	return &mux{
+		pool: p, partner: partner, endpoint: c.Endpoint, addr: c.Addr, conns: map[int]*h2.Conn{}, born: map[int]int{},
+		place: placing.Pool{Set: placing.Settings{
+			MaxConns: max(partner.MaxConns, 1), Ahead: 0.9, Expect: 100, IdleFor: float64(p.opt.KeepAlive.Milliseconds()),
+		}},
+	}
+}
+
+// start takes a call. It does not block.
+func (m *mux) start(c *Call) {
+	left := time.Until(c.SentAt.Add(c.Timeout))
+	c.mu.Lock()
+	c.timer = time.AfterFunc(max(left, 0), func() { m.expire(c) })
+	c.mu.Unlock()
+	m.mu.Lock()
+	if m.plain {
+		m.mu.Unlock()
+		m.pool.single(c, m.partner)
+		return
+	}
+	m.waiting = append(m.waiting, c)
+	ends := m.advance()
+	m.mu.Unlock()
+	run(ends)
+}
+
+func run(list []func()) {
+	for _, f := range list {
+		f()
+	}
+}
+
+// advance gives waiting calls to connections with room, and dials where that is wanted. The lock is held;
+// what it returns is to be called without it.
+func (m *mux) advance() (ends []func()) {
+	for len(m.waiting) > 0 {
+		c := m.waiting[0]
+		if c.state.Load() != waiting { // dropped, or its time was up
+			m.waiting = m.waiting[1:]
+			continue
+		}
+		pc := m.place.Place()
+		if pc == nil {
+			break
+		}
+		m.waiting = m.waiting[1:]
+		if !c.begin() {
+			continue
+		}
+		k := m.conns[pc.ID]
+		s, ok := k.Start(m.request(c), func(r h2.Result) { m.ended(c, r) })
+		m.note(pc, k)
+		if !ok { // the peer has changed its mind since: nothing was written
+			ends = append(ends, func() { m.pool.end(c, policy.Moot) })
+			continue
+		}
+		c.mu.Lock()
+		c.stream = s
+		late := c.late
+		c.mu.Unlock()
+		if late {
+			ends = append(ends, s.Cancel)
+		}
+	}
+	for m.place.WantsDial(len(m.waiting)) && !m.closing {
+		if !m.pool.reserve() {
+			if m.place.Len() == 0 {
+				ends = append(ends, m.failAll(policy.ConnectFailed)...)
+			}
+			break
+		}
+		pc := m.place.Dial()
+		m.born[pc.ID] = m.answers
+		go m.dial(pc.ID)
+	}
+	return ends
+}
+
+// failAll ends all calls that wait: none of them ran.
+func (m *mux) failAll(o policy.Outcome) (ends []func()) {
+	for _, c := range m.waiting {
+		if c.begin() {
+			ends = append(ends, func() { m.pool.end(c, o) })
+		}
+	}
+	m.waiting = nil
+	return ends
+}
+
+// note takes over what a connection can take now.
+func (m *mux) note(pc *placing.Conn, k *h2.Conn) {
+	st := k.State()
+	pc.Limit, pc.Active = st.Limit, st.Active
+	if st.Draining || st.Lost != nil {
+		pc.Phase = placing.Draining
+	} else if st.Open {
+		pc.Phase = placing.Open
+	}
+}
+
+// changed follows a connection: its limit, its streams, its end.
+func (m *mux) changed(id int, k *h2.Conn) {
+	m.mu.Lock()
+	pc := m.place.Get(id)
+	if pc == nil {
+		m.mu.Unlock()
+		return
+	}
+	m.conns[id] = k // SETTINGS may come before dial has entered it
+	m.note(pc, k)
+	pc.UsedAt = nowMS()
+	var ends []func()
+	if k.State().Lost != nil {
+		// One that was of no use is a dial that failed: calls that wait must not dial again and again to a
+		// partner that accepts and closes.
+		useless := m.born[id] == m.answers
+		m.drop(id)
+		if useless && m.place.Len() == 0 {
+			ends = m.failAll(policy.ConnectFailed)
+		}
+	}
+	ends = append(ends, m.advance()...)
+	m.reap()
+	m.mu.Unlock()
+	run(ends)
+}
+
+// drop takes a connection out of the books. The lock is held.
+func (m *mux) drop(id int) {
+	m.place.Drop(id)
+	delete(m.conns, id)
+	delete(m.born, id)
+	m.pool.release()
+}
+
+func nowMS() float64 { return float64(time.Now().UnixNano()) / 1e6 }
+
+// reap closes connections that are of no more use, and looks again when the next may be.
+func (m *mux) reap() {
+	for _, pc := range m.place.Idle(nowMS()) {
+		if k := m.conns[pc.ID]; k != nil {
+			k.Close()
+		}
+	}
+}
+
+// dial brings a connection up.
+func (m *mux) dial(id int) {
+	ctx, cancel := context.WithTimeout(context.Background(), m.pool.opt.DialTimeout)
+	defer cancel()
+	nc, proto, err := m.partner.dial(ctx, m.addr)
+	if err != nil {
+		m.pool.complain(m.endpoint, m.addr, err)
+	}
+	if err == nil && proto != "h2" { // the partner picked HTTP/1.1 (RFC 7301)
+		nc.Close()
+		m.fallBack(id)
+		return
+	}
+	if err != nil {
+		m.mu.Lock()
+		m.drop(id)
+		var ends []func()
+		if m.place.Len() == 0 {
+			ends = m.failAll(policy.ConnectFailed)
+		}
+		ends = append(ends, m.advance()...)
+		m.mu.Unlock()
+		run(ends)
+		return
+	}
+	k := h2.New(nc, h2.Options{
+		MaxBody: http1.MaxBody, RestIn: restWithin, PingAfter: m.partner.PingAfter, PingFor: m.partner.PingFor,
+		Changed: func(k *h2.Conn) { m.changed(id, k) },
+	})
+	select { // a peer that accepts and says nothing is no connection
+	case <-ctx.Done():
+	case <-k.Settled():
+		go m.watchIdle(id, k)
+		return
+	case <-k.Done():
+		return
+	}
+	m.pool.complain(m.endpoint, m.addr, errors.New("no SETTINGS in time"))
+	k.Abort(errors.New("no SETTINGS in time"))
+}
+
+// watchIdle closes a connection that has not been used for the time that one may stand idle.
+func (m *mux) watchIdle(id int, k *h2.Conn) {
+	t := time.NewTicker(max(m.pool.fresh()/2, 10*time.Millisecond))
+	defer t.Stop()
+	for {
+		select {
+		case <-k.Done():
+			return
+		case <-t.C:
+			m.mu.Lock()
+			m.reap()
+			m.mu.Unlock()
+		}
+	}
+}
+
+// fallBack gives the calls that wait to HTTP/1.1, and all that come for a while.
+func (m *mux) fallBack(id int) {
+	m.mu.Lock()
+	m.drop(id)
+	m.plain = true
+	calls := m.waiting
+	m.waiting = nil
+	m.mu.Unlock()
+	for _, c := range calls {
+		m.pool.single(c, m.partner)
+	}
+}
+
+// expire ends a call whose time is up. One that still waits never ran: for a connection that does not come,
+// or for a stream of a peer that has no room.
+func (m *mux) expire(c *Call) {
+	if c.begin() {
+		m.mu.Lock()
+		o := policy.ConnectFailed
+		if len(m.conns) > 0 {
+			o = policy.Full
+		}
+		for i, w := range m.waiting {
+			if w == c {
+				m.waiting = append(m.waiting[:i:i], m.waiting[i+1:]...)
+				break
+			}
+		}
+		m.mu.Unlock()
+		m.pool.end(c, o)
+		return
+	}
+	c.mu.Lock()
+	c.late = true
+	s := c.stream
+	c.mu.Unlock()
+	if s != nil {
+		s.Cancel()
+	}
+}
+
+// hangUp closes the connections that carry nothing.
+func (m *mux) hangUp() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id, k := range m.conns {
+		if pc := m.place.Get(id); pc != nil && k.State().Active == 0 {
+			pc.Phase = placing.Draining
+			k.Close()
+		}
+	}
+}
+
+// retire closes what is idle now and the rest when it is: the partner is reached in another way from here on.
+func (m *mux) retire() {
+	m.mu.Lock()
+	m.closing, m.place.Set.IdleFor = true, 0
+	ends := m.failAll(policy.Moot)
+	m.reap()
+	m.mu.Unlock()
+	run(ends)
+}
+
+// ended turns the end of a stream into the call's events.
+func (m *mux) ended(c *Call, r h2.Result) {
+	c.mu.Lock()
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+	c.mu.Unlock()
+	if r.Fate == h2.Answered {
+		m.mu.Lock()
+		m.answers++
+		m.mu.Unlock()
+	}
+	single := len(c.Items) <= 1
+	if r.Fate != h2.Answered && !(single && r.Status == 200) {
+		m.pool.opt.Done(c, c.events(answer{outcome: fates[r.Fate]}))
+		return
+	}
+	a := m.pool.answer(r.Status, r.Get, single)
+	if single || r.Status != 200 {
+		m.pool.opt.Done(c, c.events(a))
+		return
+	}
+	var parser fastjson.Parser
+	m.pool.opt.Done(c, each(&parser, c, r.Body, a))
+}
+
+// request is the call as HTTP/2 carries it.
+func (m *mux) request(c *Call) *h2.Request {
+	r := &h2.Request{Method: "POST", Scheme: "http", Authority: m.addr}
+	if m.partner.TLS != nil {
+		r.Scheme = "https"
+		if m.partner.ServerName != "" {
+			r.Authority = m.partner.ServerName
+		}
+	}
+	expires := h2.Field{Name: "x-expires-in", Value: strconv.FormatFloat(max(time.Until(c.SentAt.Add(c.Timeout)).Seconds(), 0.001), 'f', 3, 64)}
+	switch len(c.Items) {
+	case 0:
+		r.Method, r.Path = "GET", "/alive"
+	case 1:
+		it := &c.Items[0]
+		r.Path, r.Body = "/inbox", it.Body
+		r.Fields = append(r.Fields, h2.Field{Name: "x-trace-id", Value: it.Trace})
+		if it.Key != "" {
+			r.Fields = append(r.Fields, h2.Field{Name: "idempotency-key", Value: it.Key})
+		}
+		r.Fields = append(r.Fields, expires)
+	default:
+		r.Path, r.Body = "/inbox/bulk", c.bulk()
+		r.Fields = append(r.Fields, h2.Field{Name: "content-type", Value: "application/json"}, expires)
+	}
+	return r
+}
+
+// Partner is how one partner is reached where it is not by plain HTTP/1.1.
+type Partner struct {
+	HTTP2      bool // by prior knowledge, or as ALPN says with TLS
+	TLS        func() *tls.Config
+	ServerName string
+	MaxConns   int           // HTTP/2 connections to one endpoint
+	PingAfter  time.Duration // of silence with streams open
+	PingFor    time.Duration
+}
+
+// dial connects; proto is what was agreed on.
+func (p *Partner) dial(ctx context.Context, addr string) (nc net.Conn, proto string, err error) {
+	nc, err = (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	if err != nil || p.TLS == nil {
+		if p.HTTP2 {
+			return nc, "h2", err
+		}
+		return nc, "http/1.1", err
+	}
+	cfg := p.TLS().Clone()
+	if cfg.ServerName = p.ServerName; cfg.ServerName == "" {
+		cfg.ServerName, _, _ = net.SplitHostPort(addr)
+	}
+	cfg.NextProtos = []string{"http/1.1"}
+	if p.HTTP2 {
+		cfg.NextProtos = []string{"h2", "http/1.1"}
+	}
+	t := tls.Client(nc, cfg)
+	if err := t.HandshakeContext(ctx); err != nil {
+		nc.Close()
+		return nil, "", fmt.Errorf("TLS: %w", err)
+	}
+	if proto = t.ConnectionState().NegotiatedProtocol; proto == "" {
+		proto = "http/1.1"
+	}
+	return t, proto, nil
+}
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"os"
@@ -15,6 +16,7 @@
 
 	"github.com/valyala/fastjson"
 
+	"sliptide/internal/h2"
 	"sliptide/internal/http1"
 	"sliptide/policy"
 )
@@ -55,6 +57,11 @@
 	Timeout  time.Duration
 
 	state atomic.Int32
+
+	mu     sync.Mutex // over the rest, which HTTP/2 alone uses
+	timer  *time.Timer
+	stream *h2.Stream
+	late   bool // its time was up before its stream was there
 }
 
 // Drop gives up a call that has not written its first byte, and reports whether
@@ -71,22 +78,34 @@
 	X0, X1      int // positions in a report; -1 = absent
 	// Done takes the events that a call ends with, in the order of its items. It must not be held up.
 	Done func(*Call, []policy.Event)
+	// Partner says how a destination is reached; nil, or a nil answer: plain HTTP/1.1.
+	Partner func(dest int) *Partner
+	// Trouble is told why a connection could not be had, once in troubleGap for an endpoint; it may be nil.
+	Trouble func(endpoint uint32, addr string, err error)
 }
 
+// troubleGap is the time between two words on one endpoint.
+const troubleGap = 10 * time.Second
+
 // Pool holds the connections to all endpoints.
 type Pool struct {
 	opt  Options
 	mu   sync.Mutex
 	idle map[uint32][]*conn // by endpoint, last used last
 	open int
+	mux  map[uint32]*mux // by endpoint
+	told map[uint32]time.Time
 }
 
 // NewPool returns a Pool without connections.
-func NewPool(opt Options) *Pool { return &Pool{opt: opt, idle: map[uint32][]*conn{}} }
+func NewPool(opt Options) *Pool {
+	return &Pool{opt: opt, idle: map[uint32][]*conn{}, mux: map[uint32]*mux{}, told: map[uint32]time.Time{}}
+}
 
 // conn is one connection; its goroutine serves one call after another.
 type conn struct {
 	pool     *Pool
+	partner  *Partner
 	endpoint uint32
 	addr     string
 	nc       net.Conn
@@ -99,13 +118,70 @@
 
 // Go starts a call on an idle connection or a new one. It does not block.
 func (p *Pool) Go(c *Call) {
+	var partner *Partner
+	if p.opt.Partner != nil {
+		partner = p.opt.Partner(c.Dest)
+	}
+	if partner == nil || !partner.HTTP2 {
+		p.single(c, partner)
+		return
+	}
+	p.mu.Lock()
+	m := p.mux[c.Endpoint]
+	old := m
+	if m == nil || m.addr != c.Addr || m.partner != partner {
+		m = newMux(p, partner, c)
+		p.mux[c.Endpoint] = m
+	}
+	p.mu.Unlock()
+	if old != nil && old != m {
+		old.retire()
+	}
+	m.start(c)
+}
+
+// reserve takes room for a connection.
+func (p *Pool) reserve() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open >= p.opt.MaxConns && !p.evict() {
+		return false
+	}
+	p.open++
+	return true
+}
+
+func (p *Pool) release() {
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// complain tells why an endpoint could not be reached, where somebody listens.
+func (p *Pool) complain(endpoint uint32, addr string, err error) {
+	if p.opt.Trouble == nil {
+		return
+	}
+	p.mu.Lock()
+	soon := time.Since(p.told[endpoint]) < troubleGap
+	if !soon {
+		p.told[endpoint] = time.Now()
+	}
+	p.mu.Unlock()
+	if !soon {
+		p.opt.Trouble(endpoint, addr, err)
+	}
+}
+
+// single makes a call over HTTP/1.1, which carries one at a time on a connection.
+func (p *Pool) single(c *Call, partner *Partner) {
 	p.mu.Lock()
 	for list := p.idle[c.Endpoint]; len(list) > 0; list = p.idle[c.Endpoint] {
 		k := list[len(list)-1]
 		p.idle[c.Endpoint] = list[:len(list)-1]
 		// An idle connection that its endpoint has closed (a crash, a restart) would turn a
 		// call that never ran into a reset, which may have run.
-		if k.addr == c.Addr && time.Since(k.usedAt) < p.fresh() && alive(k.nc) {
+		if k.addr == c.Addr && k.partner == partner && time.Since(k.usedAt) < p.fresh() && alive(k.nc) {
 			p.mu.Unlock()
 			k.calls <- c
 			return
@@ -121,7 +197,7 @@
 		go p.fail(c, policy.ConnectFailed)
 		return
 	}
-	k := &conn{pool: p, endpoint: c.Endpoint, addr: c.Addr, calls: make(chan *Call, 1)}
+	k := &conn{pool: p, partner: partner, endpoint: c.Endpoint, addr: c.Addr, calls: make(chan *Call, 1)}
 	go k.run(c)
 }
 
@@ -155,6 +231,9 @@
 		close(k.calls)
 	}
 	delete(p.idle, endpoint)
+	if m := p.mux[endpoint]; m != nil {
+		go m.hangUp()
+	}
 }
 
 // park puts k among the idle connections. The last call's deadline goes with it:
@@ -184,6 +263,9 @@
 // alive reports whether the other side has neither closed the connection nor
 // sent anything unasked.
 func alive(nc net.Conn) bool {
+	if t, ok := nc.(*tls.Conn); ok {
+		nc = t.NetConn()
+	}
 	raw, err := nc.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		return false
@@ -235,8 +317,19 @@
 	limit := c.SentAt.Add(min(k.pool.opt.DialTimeout, c.Timeout))
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
-	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", k.addr)
+	partner := k.partner
+	if partner == nil {
+		partner = &Partner{}
+	} else if partner.TLS != nil && partner.HTTP2 { // it chose HTTP/1.1 when it was asked for more
+		one := *partner
+		one.HTTP2 = false
+		partner = &one
+	}
+	nc, _, err := partner.dial(ctx, k.addr)
 	if err != nil {
+		if k.partner != nil {
+			k.pool.complain(k.endpoint, k.addr, err)
+		}
 		k.pool.fail(c, policy.ConnectFailed)
 		return false
 	}
@@ -325,9 +418,10 @@
 		}
 		return c.events(answer{outcome: o})
 	}
-	a := k.pool.answer(m, single)
+	get := func(name string) string { return string(m.Headers.Get(name)) }
+	a := k.pool.answer(m.Status, get, single)
 	if single || m.Status != 200 {
 		return c.events(a)
 	}
-	return k.each(c, m.Body, a)
+	return each(&k.parser, c, m.Body, a)
 }
--- /dev/null
+++ b/internal/standin/h2partner.go
@@ -0,0 +1,313 @@
+// Package standin holds partners that the project writes itself, for tests and measurements: they speak
+// by frames, misbehave as they are told, and keep a ledger of every effect. No part of the sender uses them.
+package standin
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+)
+
+const frameMost = 16 << 10 // bytes of a frame
+
+// Request is one that the partner has in full.
+type Request struct {
+	Stream uint32
+	Conn   int // by number, from 1
+	Path   string
+	Fields map[string]string
+	Body   []byte
+}
+
+// Reply is what the partner does about a request.
+type Reply struct {
+	Status    int               // 0: no answer
+	Fields    map[string]string // of the answer
+	Body      string
+	Reset     http2.ErrCode // with NoReply false and Status 0: a reset with this code
+	Silence   bool          // nothing at all
+	GoAway    bool          // a GOAWAY that names this stream as the last, before the answer
+	Hangup    bool          // the connection is closed, after the answer if there is one
+	Cut       bool          // and in the middle of it
+	Uncounted bool          // the effect does not happen: the request is refused before it ran
+}
+
+// H2 is an HTTP/2 partner by prior knowledge (RFC 9113 3.3), with TLS if its listener has it.
+type H2 struct {
+	// On says what becomes of a request, from the goroutine of its connection. Nil: 200.
+	On func(*Request) Reply
+	// Limit is SETTINGS_MAX_CONCURRENT_STREAMS; Window the initial window; 0: none is sent.
+	Limit, Window uint32
+	// Raw takes a connection in place of all else, after the preface and SETTINGS of both sides.
+	Raw func(nc net.Conn, fr *http2.Framer)
+	// Delay is the time that an answer takes.
+	Delay time.Duration
+
+	ln    net.Listener
+	mu    sync.Mutex
+	conns map[*h2conn]bool
+	seen  int
+	runs  map[string]int // ledger: effects by message id
+	paths []string
+	most  int // streams open at once on one connection
+	bytes int64
+}
+
+// Start serves ln until Close.
+func (p *H2) Start(ln net.Listener) {
+	p.ln, p.conns, p.runs = ln, map[*h2conn]bool{}, map[string]int{}
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			p.mu.Lock()
+			p.seen++
+			k := &h2conn{p: p, nc: nc, number: p.seen, parts: map[uint32]*Request{}}
+			p.conns[k] = true
+			p.mu.Unlock()
+			go k.serve()
+		}
+	}()
+}
+
+// Addr is where it listens.
+func (p *H2) Addr() string { return p.ln.Addr().String() }
+
+// Close ends the listener and all connections.
+func (p *H2) Close() {
+	p.ln.Close()
+	p.each(func(k *h2conn) { k.nc.Close() })
+}
+
+func (p *H2) each(f func(*h2conn)) {
+	p.mu.Lock()
+	var list []*h2conn
+	for k := range p.conns {
+		list = append(list, k)
+	}
+	p.mu.Unlock()
+	for _, k := range list {
+		f(k)
+	}
+}
+
+// Set sends SETTINGS_MAX_CONCURRENT_STREAMS on every connection, new ones too.
+func (p *H2) Set(limit uint32) {
+	p.mu.Lock()
+	p.Limit = limit
+	p.mu.Unlock()
+	p.each(func(k *h2conn) {
+		k.write(func(fr *http2.Framer) {
+			fr.WriteSettings(http2.Setting{ID: http2.SettingMaxConcurrentStreams, Val: limit})
+		})
+	})
+}
+
+// Each writes frames on every connection.
+func (p *H2) Each(f func(fr *http2.Framer)) { p.each(func(k *h2conn) { k.write(f) }) }
+
+// Runs is how often a message took effect.
+func (p *H2) Runs(id string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.runs[id]
+}
+
+// Stats are the connections seen, the messages that took effect, and the most streams on one connection.
+func (p *H2) Stats() (conns, messages, most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.seen, len(p.runs), p.most
+}
+
+// Ledger calls f with each message's id and how often it took effect.
+func (p *H2) Ledger(f func(id string, runs int)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, n := range p.runs {
+		f(id, n)
+	}
+}
+
+type h2conn struct {
+	p      *H2
+	nc     net.Conn
+	number int
+	rd     *http2.Framer
+	parts  map[uint32]*Request
+
+	mu   sync.Mutex // over writing
+	fr   *http2.Framer
+	enc  *hpack.Encoder
+	head bytes.Buffer
+	open int
+}
+
+func (k *h2conn) write(f func(*http2.Framer)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.fr != nil {
+		k.nc.SetWriteDeadline(time.Now().Add(time.Second))
+		f(k.fr)
+	}
+}
+
+func (k *h2conn) serve() {
+	defer func() {
+		k.nc.Close()
+		k.p.mu.Lock()
+		delete(k.p.conns, k)
+		k.p.mu.Unlock()
+	}()
+	preface := make([]byte, len(http2.ClientPreface))
+	if _, err := io.ReadFull(k.nc, preface); err != nil || string(preface) != http2.ClientPreface {
+		return
+	}
+	k.rd = http2.NewFramer(nil, k.nc)
+	k.rd.ReadMetaHeaders = hpack.NewDecoder(4096, nil)
+	k.mu.Lock()
+	k.fr = http2.NewFramer(k.nc, nil)
+	k.fr.AllowIllegalWrites = true
+	k.enc = hpack.NewEncoder(&k.head)
+	k.p.mu.Lock()
+	var set []http2.Setting
+	if k.p.Limit > 0 {
+		set = append(set, http2.Setting{ID: http2.SettingMaxConcurrentStreams, Val: k.p.Limit})
+	}
+	if k.p.Window > 0 {
+		set = append(set, http2.Setting{ID: http2.SettingInitialWindowSize, Val: k.p.Window})
+	}
+	k.p.mu.Unlock()
+	k.fr.WriteSettings(set...)
+	k.mu.Unlock()
+	if k.p.Raw != nil {
+		k.p.Raw(k.nc, k.fr)
+		return
+	}
+	for k.frame() {
+	}
+}
+
+// frame takes one frame and reports whether the connection goes on.
+func (k *h2conn) frame() bool {
+	f, err := k.rd.ReadFrame()
+	if err != nil {
+		var se http2.StreamError
+		return errors.As(err, &se)
+	}
+	switch f := f.(type) {
+	case *http2.MetaHeadersFrame:
+		r := &Request{Stream: f.StreamID, Conn: k.number, Path: f.PseudoValue("path"), Fields: map[string]string{}}
+		for _, h := range f.RegularFields() {
+			r.Fields[h.Name] = h.Value
+		}
+		k.parts[f.StreamID] = r
+		k.p.mu.Lock()
+		k.open++
+		k.p.most = max(k.p.most, k.open)
+		k.p.mu.Unlock()
+		if f.StreamEnded() {
+			return k.whole(r)
+		}
+	case *http2.DataFrame:
+		if r := k.parts[f.StreamID]; r != nil {
+			r.Body = append(r.Body, f.Data()...)
+			if n := uint32(len(f.Data())); n > 0 {
+				k.write(func(fr *http2.Framer) { fr.WriteWindowUpdate(0, n); fr.WriteWindowUpdate(f.StreamID, n) })
+			}
+			if f.StreamEnded() {
+				return k.whole(r)
+			}
+		}
+	case *http2.RSTStreamFrame:
+		if k.parts[f.StreamID] != nil {
+			delete(k.parts, f.StreamID)
+			k.closed()
+		}
+	case *http2.SettingsFrame:
+		if !f.IsAck() {
+			k.write(func(fr *http2.Framer) { fr.WriteSettingsAck() })
+		}
+	case *http2.PingFrame:
+		if !f.IsAck() {
+			k.write(func(fr *http2.Framer) { fr.WritePing(true, f.Data) })
+		}
+	case *http2.GoAwayFrame:
+		return false
+	}
+	return true
+}
+
+func (k *h2conn) closed() {
+	k.p.mu.Lock()
+	k.open--
+	k.p.mu.Unlock()
+}
+
+// whole takes a request that is there in full: from here on it has run, unless the reply says otherwise.
+func (k *h2conn) whole(r *Request) bool {
+	delete(k.parts, r.Stream)
+	reply := Reply{Status: 200}
+	if k.p.On != nil {
+		reply = k.p.On(r)
+	}
+	if !reply.Uncounted {
+		k.p.mu.Lock()
+		k.p.runs[r.Fields["x-trace-id"]]++
+		k.p.mu.Unlock()
+	}
+	if reply.Silence {
+		return true
+	}
+	if reply.GoAway {
+		k.write(func(fr *http2.Framer) { fr.WriteGoAway(r.Stream, http2.ErrCodeNo, nil) })
+	}
+	answer := func() {
+		k.write(func(fr *http2.Framer) {
+			if reply.Status == 0 {
+				fr.WriteRSTStream(r.Stream, reply.Reset)
+				return
+			}
+			k.head.Reset()
+			k.enc.WriteField(hpack.HeaderField{Name: ":status", Value: strconv.Itoa(reply.Status)})
+			for name, v := range reply.Fields {
+				k.enc.WriteField(hpack.HeaderField{Name: name, Value: v})
+			}
+			body := []byte(reply.Body)
+			head := k.head.Bytes()
+			n := min(len(head), frameMost)
+			fr.WriteHeaders(http2.HeadersFrameParam{StreamID: r.Stream, BlockFragment: head[:n], EndHeaders: n == len(head), EndStream: len(body) == 0 && !reply.Cut})
+			for head = head[n:]; len(head) > 0; head = head[n:] {
+				n = min(len(head), frameMost)
+				fr.WriteContinuation(r.Stream, n == len(head), head[:n])
+			}
+			for len(body) > 0 {
+				n = min(len(body), frameMost)
+				fr.WriteData(r.Stream, !reply.Cut && n == len(body), body[:n])
+				body = body[n:]
+			}
+		})
+		k.closed()
+	}
+	if reply.Hangup {
+		if reply.Status != 0 {
+			answer()
+		}
+		return false
+	}
+	if k.p.Delay > 0 {
+		time.AfterFunc(k.p.Delay, answer)
+	} else {
+		answer()
+	}
+	return true
+}
