--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint fuzz crash measure bench generate run toy clean
+.PHONY: build test lint fuzz crash h2-chaos measure bench generate run toy clean
 
 build: ## the program and the simulator's adapter, into bin/
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -16,12 +16,16 @@
 	go test ./policy -run '^$$' -fuzz . -fuzztime 30s
 	go test ./internal/operator -run '^$$' -fuzz FuzzRead -fuzztime 30s
 	go test ./internal/knowledge/store -run '^$$' -fuzz FuzzDecode -fuzztime 30s
+	go test ./internal/h2 -run '^$$' -fuzz FuzzPeer -fuzztime 60s
 
 crash: ## a process killed 1,000 times while it writes under load (about five minutes)
 	SLIPTIDE_CRASHES=1000 go test ./cmd/sliptide -count=1 -timeout 30m -v -run TestKilledWhileWriting | grep -v '"level"'
 
+h2-chaos: ## 100,000 messages to partners that close, reset and say GOAWAY at random (about two minutes)
+	SLIPTIDE_H2_MESSAGES=100000 go test ./cmd/sliptide -count=1 -timeout 30m -v -run TestH2Chaos | grep h2_test
+
 measure: ## the tables of docs/: restarts and cost, with knowledge off and on (about two minutes)
-	SLIPTIDE_MEASURE=1 go test ./cmd/sliptide -count=1 -timeout 30m -v -run TestMeasure | grep measure_test
+	SLIPTIDE_MEASURE=1 go test ./cmd/sliptide -count=1 -timeout 30m -v -run TestMeasure | grep -E '(measure|h2)_test' 
 
 bench: ## bytes and time of a snapshot by size
 	go test ./internal/knowledge/store -run '^$$' -bench . -benchmem
--- a/cmd/sliptide/h2_test.go
+++ b/cmd/sliptide/h2_test.go
@@ -1,16 +1,19 @@
 package main
 
 import (
+	"crypto/tls"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -306,9 +309,13 @@
 
 // HTTP/1.1 and HTTP/2 against the same kind of partner, by calls in flight: connections, latency, CPU.
 func TestMeasureH2(t *testing.T) {
+	flights, rounds := []int{1, 8, 64}, 3
+	if v, err := strconv.Atoi(os.Getenv("SLIPTIDE_IN_FLIGHT")); err == nil {
+		flights, rounds = []int{v}, 8
+	}
 	measuring(t)
-	for _, flight := range []int{1, 8, 64} {
-		for round := range 2 {
+	for _, flight := range flights {
+		for round := range rounds {
 			for _, proto := range []string{"http/1.1", "h2c"} {
 				var line string
 				t.Run(fmt.Sprint(proto, flight, round), func(t *testing.T) {
@@ -320,6 +327,34 @@
 	}
 }
 
+// countedListener counts the bytes of its connections, both ways.
+type countedListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+func (l *countedListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	return countedConn{nc, l}, err
+}
+
+type countedConn struct {
+	net.Conn
+	l *countedListener
+}
+
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.l.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.l.bytes.Add(int64(n))
+	return n, err
+}
+
 func side(t *testing.T, proto string, flight int) string {
 	var mu sync.Mutex
 	handed, delivery := map[string]time.Time{}, []float64{}
@@ -358,7 +393,8 @@
 		note(q.Header.Get("X-Trace-Id"))
 		time.Sleep(20 * time.Millisecond)
 	})}
-	go srv.Serve(ln)
+	wire := &countedListener{Listener: ln}
+	go srv.Serve(wire)
 	t.Cleanup(func() { srv.Close() })
 	r.change(func() {
 		r.list = []endpoint{{ID: "h", Addr: ln.Addr().String(), Zone: "a", Kind: "one", Cell: 0, State: "up"}}
@@ -399,6 +435,66 @@
 	mu.Lock()
 	defer mu.Unlock()
 	slices.Sort(delivery)
-	return fmt.Sprintf("%-8s %2d in flight: %4d messages, %2d connections, delivery p50 %.2f p99 %.2f ms, CPU %.0f us a message, resident %.1f MB",
-		proto, flight, n, conns, quantile(delivery, .5), quantile(delivery, .99), cpu/float64(n)*1e6, rssOf(r.proc.Process.Pid))
+	return fmt.Sprintf("%-8s %2d in flight: %4d messages, %2d connections, delivery p50 %.2f p99 %.2f ms, CPU %.0f us and %d bytes a message, resident %.1f MB",
+		proto, flight, n, conns, quantile(delivery, .5), quantile(delivery, .99), cpu/float64(n)*1e6, wire.bytes.Load()/int64(n), rssOf(r.proc.Process.Pid))
+}
+
+// Keys are read again on SIGHUP: a request that is out goes on, the next connection uses the new ones; and
+// the probe shows what the partner offers.
+func TestKeysReadAgain(t *testing.T) {
+	dir := t.TempDir()
+	at := func(name string) string { return filepath.Join(dir, name) }
+	old, fresh := standin.NewAuthority("old CA"), standin.NewAuthority("new CA")
+	old.WriteCA(at("ca.pem"))
+	ends := time.Now().Add(30 * 24 * time.Hour)
+	server := func(cert tls.Certificate, p *standin.H2) *standin.H2 {
+		ln, err := tls.Listen("tcp", "127.0.0.1:0", &tls.Config{Certificates: []tls.Certificate{cert}, NextProtos: []string{"h2"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Start(ln)
+		t.Cleanup(p.Close)
+		return p
+	}
+	answer := make(chan standin.Reply)
+	first := server(old.Pair("lodge.example.org", ends), &standin.H2{On: func(*standin.Request) standin.Reply { return <-answer }})
+	second := server(fresh.Pair("lodge.example.org", ends), &standin.H2{Limit: 33})
+	r := newRigWith(t, fmt.Sprintf(`<partners><partner dest="0" protocol="h2" server-name="lodge.example.org" ca="%s"/><partner dest="1" protocol="h2" server-name="lodge.example.org" ca="%s"/></partners>`, at("ca.pem"), at("ca.pem")), nil)
+	r.listed(first, second)
+	r.awaitTaken("out", 0, 10)
+	r.awaitTaken("waits", 1, 10) // its partner's CA is not known yet
+	r.awaitLog("certificate signed by unknown authority")
+	for end := time.Now().Add(patient); first.Acks() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not called")
+		}
+	}
+	fresh.WriteCA(at("ca.pem"))
+	r.proc.Process.Signal(syscall.SIGHUP)
+	r.awaitLog("configuration read again")
+	answer <- standin.Reply{Status: 200}
+	for end := time.Now().Add(patient); first.Runs("out") == 0 || second.Runs("waits") == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("delivered %d and %d times", first.Runs("out"), second.Runs("waits"))
+		}
+	}
+	os.WriteFile(at("ca.pem"), []byte("nonsense"), 0o600)
+	r.proc.Process.Signal(syscall.SIGHUP)
+	r.awaitLog("keeping the old")
+	fresh.WriteCA(at("ca.pem"))
+	out, errs, status := command(t, "partner", "probe", second.Addr(), "--operator", r.operator, "--dest", "1")
+	for _, want := range []string{"speaks h2 over TLS 1.3", "MAX_CONCURRENT_STREAMS = 33", "lodge.example.org", "29 days left"} {
+		if status != 0 || !strings.Contains(out, want) {
+			t.Errorf("probe: %d, no %q in %s%s", status, want, out, errs)
+		}
+	}
+	if _, errs, status := command(t, "partner", "probe", first.Addr(), "--operator", r.operator, "--dest", "0"); status != 1 || !strings.Contains(errs, "unknown authority") {
+		t.Errorf("probe: %d %s", status, errs)
+	}
+	if out, errs, status := command(t, "partner", "probe", r.addr, "--protocol", "h2c"); status != 1 {
+		t.Errorf("probe of what is no partner: %d %s%s", status, out, errs)
+	}
+	if _, _, status := command(t, "partner", "probe", "nowhere"); status != 2 {
+		t.Errorf("probe of no address: %d", status)
+	}
 }
--- a/internal/h2/h2.go
+++ b/internal/h2/h2.go
@@ -54,8 +54,13 @@
 	return [...]string{"answered", "never ran", "gone away", "refused", "broken", "silent", "spoilt", "cancelled"}[f]
 }
 
-// Field is one header field; names are in lower case (8.2).
-type Field struct{ Name, Value string }
+// Field is one header field; names are in lower case (8.2). Private: no table holds it, so that nobody who
+// shares one can guess it.
+type Field struct {
+	Name    string `json:"name"`
+	Value   string `json:"value"`
+	Private bool   `json:"-"`
+}
 
 // Request is one request. Its body is kept as it is until the request has ended.
 type Request struct {
@@ -256,12 +261,12 @@
 // writeHead queues HEADERS and, where they are long, CONTINUATION (6.10).
 func (c *Conn) writeHead(s *Stream, req *Request) {
 	c.block.Reset()
-	for _, f := range []Field{{":method", req.Method}, {":scheme", req.Scheme}, {":authority", req.Authority}, {":path", req.Path}} {
-		c.encoder.WriteField(hpack.HeaderField{Name: f.Name, Value: f.Value})
-	}
-	for _, f := range req.Fields {
-		// A message's id and key are new each time: no table should hold them (7.1.3 of RFC 7541).
-		c.encoder.WriteField(hpack.HeaderField{Name: f.Name, Value: f.Value, Sensitive: f.Name == "idempotency-key" || f.Name == "x-trace-id"})
+	c.encoder.WriteField(hpack.HeaderField{Name: ":method", Value: req.Method})
+	c.encoder.WriteField(hpack.HeaderField{Name: ":scheme", Value: req.Scheme})
+	c.encoder.WriteField(hpack.HeaderField{Name: ":authority", Value: req.Authority})
+	c.encoder.WriteField(hpack.HeaderField{Name: ":path", Value: req.Path})
+	for _, f := range req.Fields { // what is private stays out of both sides' tables (RFC 7541 7.1.3)
+		c.encoder.WriteField(hpack.HeaderField{Name: f.Name, Value: f.Value, Sensitive: f.Private})
 	}
 	if len(req.Body) > 0 {
 		c.encoder.WriteField(hpack.HeaderField{Name: "content-length", Value: strconv.Itoa(len(req.Body))})
@@ -508,7 +513,7 @@
 	defer c.mu.Unlock()
 	list := make([]Field, len(c.told))
 	for i, s := range c.told {
-		list[i] = Field{s.ID.String(), strconv.FormatUint(uint64(s.Val), 10)}
+		list[i] = Field{Name: s.ID.String(), Value: strconv.FormatUint(uint64(s.Val), 10)}
 	}
 	return list
 }
--- a/internal/h2/read.go
+++ b/internal/h2/read.go
@@ -1,6 +1,7 @@
 package h2
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"strconv"
@@ -10,9 +11,12 @@
 	"golang.org/x/net/http2/hpack"
 )
 
+const readBuffer = 4 << 10
+
 // readLoop takes the peer's frames until the connection is lost.
 func (c *Conn) readLoop() {
-	fr := http2.NewFramer(nil, c.nc)
+	// A frame is read in two parts: without a buffer each would be a system call.
+	fr := http2.NewFramer(nil, bufio.NewReaderSize(c.nc, readBuffer))
 	fr.SetMaxReadFrameSize(maxFrame)
 	fr.SetReuseFrames()
 	fr.ReadMetaHeaders = hpack.NewDecoder(tableSize, nil)
@@ -300,8 +304,10 @@
 	}
 	s.headed = true
 	s.result.Status = status
-	for _, h := range f.RegularFields() {
-		s.result.Fields = append(s.result.Fields, Field{h.Name, h.Value})
+	fields := f.RegularFields()
+	s.result.Fields = make([]Field, 0, len(fields))
+	for _, h := range fields {
+		s.result.Fields = append(s.result.Fields, Field{Name: h.Name, Value: h.Value})
 		if h.Name == "content-length" {
 			n, err := strconv.Atoi(h.Value)
 			if err != nil || n < 0 || s.length >= 0 && s.length != n {
--- a/internal/outbound/mux.go
+++ b/internal/outbound/mux.go
@@ -173,7 +173,9 @@
 		}
 	}
 	ends = append(ends, m.advance()...)
-	m.reap()
+	if pc.Phase == placing.Draining || m.closing {
+		m.reap()
+	}
 	m.mu.Unlock()
 	run(ends)
 }
@@ -378,9 +380,10 @@
 	case 1:
 		it := &c.Items[0]
 		r.Path, r.Body = "/inbox", it.Body
-		r.Fields = append(r.Fields, h2.Field{Name: "x-trace-id", Value: it.Trace})
+		r.Fields = make([]h2.Field, 0, 3)
+		r.Fields = append(r.Fields, h2.Field{Name: "x-trace-id", Value: it.Trace, Private: true})
 		if it.Key != "" {
-			r.Fields = append(r.Fields, h2.Field{Name: "idempotency-key", Value: it.Key})
+			r.Fields = append(r.Fields, h2.Field{Name: "idempotency-key", Value: it.Key, Private: true})
 		}
 		r.Fields = append(r.Fields, expires)
 	default:
--- a/internal/outbound/tls_test.go
+++ b/internal/outbound/tls_test.go
@@ -1,17 +1,10 @@
 package outbound
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"fmt"
 	"io"
 	"log"
-	"math/big"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -22,68 +15,10 @@
 	"time"
 
 	"sliptide/internal/keys"
+	"sliptide/internal/standin"
 	"sliptide/policy"
 )
 
-// authority makes certificates for a test.
-type authority struct {
-	t    *testing.T
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-	n    int64
-}
-
-func newAuthority(t *testing.T) *authority {
-	a := &authority{t: t}
-	a.cert, a.key = a.issue(&x509.Certificate{Subject: pkix.Name{CommonName: "test CA"}, IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign}, nil)
-	return a
-}
-
-func (a *authority) issue(c *x509.Certificate, by *authority) (*x509.Certificate, *ecdsa.PrivateKey) {
-	a.t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	a.n++
-	c.SerialNumber = big.NewInt(a.n)
-	if c.NotAfter.IsZero() {
-		c.NotBefore, c.NotAfter = time.Now().Add(-time.Hour), time.Now().Add(90*24*time.Hour)
-	}
-	parent, signer := c, key
-	if by != nil {
-		parent, signer = by.cert, by.key
-	}
-	der, err := x509.CreateCertificate(rand.Reader, c, parent, &key.PublicKey, signer)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	cert, _ := x509.ParseCertificate(der)
-	return cert, key
-}
-
-func (a *authority) pair(name string, ends time.Time, by *authority) tls.Certificate {
-	c, key := a.issue(&x509.Certificate{Subject: pkix.Name{CommonName: name}, DNSNames: []string{name}, NotBefore: time.Now().Add(-100 * time.Hour), NotAfter: ends,
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}, by)
-	return tls.Certificate{Certificate: [][]byte{c.Raw}, PrivateKey: key, Leaf: c}
-}
-
-func (a *authority) file(name string, mode os.FileMode, blocks ...*pem.Block) string {
-	path := filepath.Join(a.t.TempDir(), name)
-	var text []byte
-	for _, b := range blocks {
-		text = append(text, pem.EncodeToMemory(b)...)
-	}
-	if err := os.WriteFile(path, text, mode); err != nil {
-		a.t.Fatal(err)
-	}
-	return path
-}
-
-func (a *authority) ca() string {
-	return a.file("ca.pem", 0o644, &pem.Block{Type: "CERTIFICATE", Bytes: a.cert.Raw})
-}
-
 // secure is a partner over TLS; protocols as ALPN offers them.
 func secure(t *testing.T, cert tls.Certificate, change func(*httptest.Server)) *httptest.Server {
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
@@ -128,17 +63,19 @@
 }
 
 func TestTLS(t *testing.T) {
-	a, other := newAuthority(t), newAuthority(t)
+	dir := t.TempDir()
+	at := func(name string) string { return filepath.Join(dir, name) }
+	a, other := standin.NewAuthority("test CA"), standin.NewAuthority("other CA")
+	a.WriteCA(at("ca.pem"))
 	later := time.Now().Add(90 * 24 * time.Hour)
-	good := a.pair("partner.example.org", later, a)
-	own := a.pair("sender.example.org", later, a)
-	der, _ := x509.MarshalECPrivateKey(own.PrivateKey.(*ecdsa.PrivateKey))
-	ownFiles := keys.Files{CA: a.ca(), Cert: a.file("own.pem", 0o644, &pem.Block{Type: "CERTIFICATE", Bytes: own.Certificate[0]}), Key: a.file("own.key", 0o600, &pem.Block{Type: "EC PRIVATE KEY", Bytes: der})}
+	good := a.Pair("partner.example.org", later)
+	standin.WritePair(a.Pair("sender.example.org", later), at("own.pem"), at("own.key"), 0o600)
+	ca := keys.Files{CA: at("ca.pem")}
+	ownFiles := keys.Files{CA: at("ca.pem"), Cert: at("own.pem"), Key: at("own.key")}
 	asksForOne := func(s *httptest.Server) {
-		pool := x509.NewCertPool()
-		pool.AddCert(a.cert)
-		s.TLS.ClientAuth, s.TLS.ClientCAs = tls.RequireAndVerifyClientCert, pool
+		s.TLS.ClientAuth, s.TLS.ClientCAs = tls.RequireAndVerifyClientCert, a.Pool()
 	}
+	var selfSigned *standin.Authority
 	for name, row := range map[string]struct {
 		cert   tls.Certificate
 		server func(*httptest.Server)
@@ -148,16 +85,16 @@
 		major  float64 // HTTP version that the partner saw
 		says   string
 	}{
-		"HTTP/2":             {good, nil, keys.Files{CA: a.ca()}, true, policy.OK, 2, ""},
-		"HTTP/1.1 by choice": {good, nil, keys.Files{CA: a.ca()}, false, policy.OK, 1, ""},
-		"HTTP/1.1 by ALPN":   {good, func(s *httptest.Server) { s.EnableHTTP2 = false }, keys.Files{CA: a.ca()}, true, policy.OK, 1, ""},
+		"HTTP/2":             {good, nil, ca, true, policy.OK, 2, ""},
+		"HTTP/1.1 by choice": {good, nil, ca, false, policy.OK, 1, ""},
+		"HTTP/1.1 by ALPN":   {good, func(s *httptest.Server) { s.EnableHTTP2 = false }, ca, true, policy.OK, 1, ""},
 		"mutual":             {good, asksForOne, ownFiles, true, policy.OK, 2, ""},
-		"unknown CA":         {other.pair("partner.example.org", later, other), nil, keys.Files{CA: a.ca()}, true, policy.ConnectFailed, 0, "unknown authority"},
-		"self-signed":        {other.pair("partner.example.org", later, nil), nil, keys.Files{CA: a.ca()}, true, policy.ConnectFailed, 0, "unknown authority"},
-		"wrong name":         {a.pair("else.example.org", later, a), nil, keys.Files{CA: a.ca()}, true, policy.ConnectFailed, 0, "else.example.org"},
-		"expired":            {a.pair("partner.example.org", time.Now().Add(-time.Hour), a), nil, keys.Files{CA: a.ca()}, true, policy.ConnectFailed, 0, "expired"},
-		"expired, HTTP/1.1":  {a.pair("partner.example.org", time.Now().Add(-time.Hour), a), nil, keys.Files{CA: a.ca()}, false, policy.ConnectFailed, 0, "expired"},
-		"too old a TLS":      {good, func(s *httptest.Server) { s.TLS.MaxVersion = tls.VersionTLS11 }, keys.Files{CA: a.ca()}, true, policy.ConnectFailed, 0, "protocol version"},
+		"unknown CA":         {other.Pair("partner.example.org", later), nil, ca, true, policy.ConnectFailed, 0, "unknown authority"},
+		"self-signed":        {selfSigned.Pair("partner.example.org", later), nil, ca, true, policy.ConnectFailed, 0, "unknown authority"},
+		"wrong name":         {a.Pair("else.example.org", later), nil, ca, true, policy.ConnectFailed, 0, "else.example.org"},
+		"expired":            {a.Pair("partner.example.org", time.Now().Add(-time.Hour)), nil, ca, true, policy.ConnectFailed, 0, "expired"},
+		"expired, HTTP/1.1":  {a.Pair("partner.example.org", time.Now().Add(-time.Hour)), nil, ca, false, policy.ConnectFailed, 0, "expired"},
+		"too old a TLS":      {good, func(s *httptest.Server) { s.TLS.MaxVersion = tls.VersionTLS11 }, ca, true, policy.ConnectFailed, 0, "protocol version"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			cfg, _, err := keys.Load(row.files, time.Now())
@@ -179,27 +116,30 @@
 
 // Keys that are no good are refused with the file and what is allowed.
 func TestKeys(t *testing.T) {
-	a := newAuthority(t)
+	dir := t.TempDir()
+	at := func(name string) string { return filepath.Join(dir, name) }
 	now := time.Now()
-	soon := a.pair("sender.example.org", now.Add(13*24*time.Hour), a)
-	der, _ := x509.MarshalECPrivateKey(soon.PrivateKey.(*ecdsa.PrivateKey))
-	block := &pem.Block{Type: "EC PRIVATE KEY", Bytes: der}
-	cert := a.file("own.pem", 0o644, &pem.Block{Type: "CERTIFICATE", Bytes: soon.Certificate[0]})
+	a := standin.NewAuthority("test CA")
+	a.WriteCA(at("ca.pem"))
+	soon := a.Pair("sender.example.org", now.Add(13*24*time.Hour))
+	standin.WritePair(soon, at("own.pem"), at("own.key"), 0o600)
+	standin.WritePair(soon, at("own.pem"), at("open.key"), 0o640)
+	os.WriteFile(at("empty.pem"), nil, 0o600)
 	for name, row := range map[string]struct {
 		files keys.Files
 		says  string
 	}{
-		"readable by others": {keys.Files{Cert: cert, Key: a.file("k", 0o640, block)}, "others may read"},
+		"readable by others": {keys.Files{Cert: at("own.pem"), Key: at("open.key")}, "others may read"},
 		"no such file":       {keys.Files{CA: "/nowhere.pem"}, "/nowhere.pem"},
-		"an empty bundle":    {keys.Files{CA: a.file("e", 0o644)}, "no certificate in PEM"},
-		"a key as bundle":    {keys.Files{CA: a.file("e", 0o600, block)}, "allowed: CERTIFICATE"},
-		"not a pair":         {keys.Files{Cert: a.ca(), Key: a.file("k", 0o600, block)}, "private key"},
+		"an empty bundle":    {keys.Files{CA: at("empty.pem")}, "no certificate in PEM"},
+		"a key as bundle":    {keys.Files{CA: at("own.key")}, "allowed: CERTIFICATE"},
+		"not a pair":         {keys.Files{Cert: at("ca.pem"), Key: at("own.key")}, "private key"},
 	} {
 		if _, _, err := keys.Load(row.files, now); err == nil || !strings.Contains(err.Error(), row.says) {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
-	_, warnings, err := keys.Load(keys.Files{Cert: cert, Key: a.file("k", 0o600, block)}, now)
+	_, warnings, err := keys.Load(keys.Files{Cert: at("own.pem"), Key: at("own.key")}, now)
 	if err != nil || len(warnings) != 1 || !strings.Contains(warnings[0].String(), "sender.example.org") {
 		t.Errorf("%v %v", warnings, err)
 	}
--- /dev/null
+++ b/internal/standin/certs.go
@@ -0,0 +1,83 @@
+package standin
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"time"
+)
+
+// Authority makes certificates for tests. Its methods panic where a test could not go on.
+type Authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+var serial = big.NewInt(time.Now().UnixNano())
+
+// NewAuthority returns one with a certificate of its own.
+func NewAuthority(name string) *Authority {
+	a := &Authority{}
+	a.cert, a.key = issue(&x509.Certificate{Subject: pkix.Name{CommonName: name}, IsCA: true, BasicConstraintsValid: true,
+		KeyUsage: x509.KeyUsageCertSign, NotAfter: time.Now().Add(90 * 24 * time.Hour)}, nil)
+	return a
+}
+
+func issue(c *x509.Certificate, by *Authority) (*x509.Certificate, *ecdsa.PrivateKey) {
+	key := must(ecdsa.GenerateKey(elliptic.P256(), rand.Reader))
+	serial.Add(serial, big.NewInt(1))
+	c.SerialNumber = new(big.Int).Set(serial)
+	c.NotBefore = time.Now().Add(-100 * time.Hour)
+	parent, signer := c, key
+	if by != nil {
+		parent, signer = by.cert, by.key
+	}
+	der := must(x509.CreateCertificate(rand.Reader, c, parent, &key.PublicKey, signer))
+	return must(x509.ParseCertificate(der)), key
+}
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// Pair issues a certificate for a host name, for both sides of a connection. A nil Authority signs with
+// the certificate's own key.
+func (a *Authority) Pair(name string, ends time.Time) tls.Certificate {
+	c, key := issue(&x509.Certificate{Subject: pkix.Name{CommonName: name}, DNSNames: []string{name}, NotAfter: ends,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}, a)
+	return tls.Certificate{Certificate: [][]byte{c.Raw}, PrivateKey: key, Leaf: c}
+}
+
+// Pool holds the authority's certificate.
+func (a *Authority) Pool() *x509.CertPool {
+	p := x509.NewCertPool()
+	p.AddCert(a.cert)
+	return p
+}
+
+// WriteCA writes the authority's certificate in PEM.
+func (a *Authority) WriteCA(path string) { write(path, 0o644, "CERTIFICATE", a.cert.Raw) }
+
+// WritePair writes a certificate and its key in PEM.
+func WritePair(c tls.Certificate, certPath, keyPath string, keyMode os.FileMode) {
+	write(certPath, 0o644, "CERTIFICATE", c.Certificate[0])
+	write(keyPath, keyMode, "EC PRIVATE KEY", must(x509.MarshalECPrivateKey(c.PrivateKey.(*ecdsa.PrivateKey))))
+}
+
+func write(path string, mode os.FileMode, kind string, der []byte) {
+	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), mode); err != nil {
+		panic(err)
+	}
+	if err := os.Chmod(path, mode); err != nil {
+		panic(err)
+	}
+}
