--- a/cmd/sliptide/run.go
+++ b/cmd/sliptide/run.go
@@ -59,6 +59,7 @@
 		return fmt.Errorf("%w: %w", cli.ErrConfig, err)
 	}
 	limit(cfg.Limits)
+	debug.FreeOSMemory() // what reading the command line has left behind: on the leanest day 32 MB are all
 	log := zerolog.New(os.Stderr).With().Timestamp().Str("sender", cfg.Name).Logger()
 
 	book := partners.New(time.Now)
--- a/policy/facts_test.go
+++ b/policy/facts_test.go
@@ -169,3 +169,34 @@
 		t.Error("facts of an earlier step bind")
 	}
 }
+
+// A limit that fell tenfold while the sender was down: the first answer that tells it brings the pace down, so
+// what was remembered costs a second's burst at most.
+func TestLimitFellMeanwhile(t *testing.T) {
+	set := testSettings()
+	set.X0, set.X1 = 0, 1
+	eps := []Endpoint{{ID: 1, State: Ready, Kind: 2, Dest: 1}}
+	r := newRig(t, set, eps...)
+	r.message(1, clsSafe, 1, 0)
+	e := r.outcome(1, OK, 0)
+	e.Report = []float64{0.5, 50}
+	r.step(e)
+	n := r.reborn(eps, []int{1})
+	if got := n.s.dests[1].shared.limit; got != 50 {
+		t.Fatalf("remembered pace %v", got)
+	}
+	n.message(2, clsSafe, 1, 0)
+	e = n.outcome(2, Full, 0)
+	e.Report = []float64{0, 5}
+	n.step(e)
+	if got := n.s.dests[1].shared; got.limit > 5 || got.told != 5 {
+		t.Errorf("pace %v, limit %v after the first answer", got.limit, got.told)
+	}
+	sent := 0
+	for id := uint64(10); id < 60; id++ {
+		sent += sends(n.message(id, clsSafe, 1, 0))
+	}
+	if sent > 3 { // half a second of five a second, and one that is under way
+		t.Errorf("%d calls at once", sent)
+	}
+}
