--- a/internal/outbound/mux_test.go
+++ b/internal/outbound/mux_test.go
@@ -64,3 +64,60 @@
 		})
 	}
 }
+
+// A partner that floods, and one that reads nothing, cost the calls to another nothing: all of these are
+// answered in their time, while the two are at it.
+func TestBadPartnersHarmNoOther(t *testing.T) {
+	start := func(p *standin.H2) *standin.H2 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Start(ln)
+		t.Cleanup(p.Close)
+		return p
+	}
+	stop := make(chan struct{})
+	good := start(&standin.H2{})
+	floods := start(&standin.H2{Raw: func(nc net.Conn, fr *http2.Framer) {
+		for fr.WritePing(false, [8]byte{}) == nil {
+		}
+	}})
+	deaf := start(&standin.H2{Raw: func(net.Conn, *http2.Framer) { <-stop }})
+	t.Cleanup(func() { close(stop) })
+	type end struct {
+		endpoint uint32
+		outcome  policy.Outcome
+	}
+	ended := make(chan end, 100)
+	partner := &Partner{HTTP2: true, MaxConns: 2, PingAfter: time.Second, PingFor: time.Second}
+	pool := NewPool(Options{MaxConns: 20, KeepAlive: time.Second, DialTimeout: 5 * time.Second, X0: -1, X1: -1,
+		Partner: func(int) *Partner { return partner },
+		Done:    func(c *Call, events []policy.Event) { ended <- end{c.Endpoint, events[0].Outcome} }})
+	call := func(endpoint uint32, addr string, timeout time.Duration, size int) {
+		pool.Go(&Call{Endpoint: endpoint, Addr: addr, SentAt: time.Now(), Timeout: timeout, Items: []Item{{ID: 1, Trace: "t", Body: make([]byte, size)}}})
+	}
+	bad := 0
+	for range 300 {
+		if bad < 20 {
+			call(2, floods.Addr(), 3*time.Second, 60000)
+			call(3, deaf.Addr(), 3*time.Second, 60000)
+			bad += 2
+		}
+		call(1, good.Addr(), 3*time.Second, 100)
+		for e := range ended {
+			if e.endpoint == 1 {
+				if e.outcome != policy.OK {
+					t.Fatalf("a call to the good partner ends with %v", e.outcome)
+				}
+				break
+			}
+			bad--
+		}
+	}
+	for ; bad > 0; bad-- { // and each of theirs ends too
+		if e := <-ended; e.outcome == policy.OK {
+			t.Error("a bad partner answers")
+		}
+	}
+}
