A connection that is being closed takes no stream; a newer generation before stays

Need: read again as a whole, the change had faults that no test caused. A stream could begin between the GOAWAY of an idle close and the end of the connection, and was then reported as one that may have run. A knowledge.prev of a newer format was removed by Shrink and overwritten by Save. A copy that could not be removed went uncounted. A call that was dropped made its endpoint's remembered facts look fresh. A frame that can't be written ended the program.

Change: each mended, the first two with a test. The test of a partner that reads nothing ended the connection itself and so could hardly fail: it now waits for the PING, and counts the ends. The test of a stepped clock allows the one right length only.

--- a/internal/h2/h2.go
+++ b/internal/h2/h2.go
@@ -174,7 +174,6 @@
 	ErrClosed = errors.New("h2: closed")
 	ErrSilent = errors.New("h2: no answer to a PING")
 	ErrNoise  = errors.New("h2: too many control frames")
-	errLimit  = errors.New("h2: no stream is free")
 )
 
 // New starts a connection on nc, which is the Conn's from here on. The first frames go out at once
@@ -213,16 +212,22 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return State{
-		Open: c.settled && !c.draining && c.lost == nil && c.nextID < maxStream-2, Limit: int(c.limit),
-		Active: len(c.streams), Draining: c.draining, Lost: c.lost,
+		Open: c.takes(), Limit: int(c.limit), Active: len(c.streams), Draining: c.draining || c.leaving, Lost: c.lost,
 	}
 }
 
+// takes reports whether there are new streams at all. One that begins behind the GOAWAY of Close would be
+// cut off with the connection and pass for a request that may have run. The lock is held.
+func (c *Conn) takes() bool {
+	return c.settled && !c.draining && !c.leaving && c.lost == nil && c.nextID < maxStream-2
+}
+
 // put appends frames to what waits to be written. The lock is held.
 func (c *Conn) put(write func() error, control bool) {
 	before := c.out.Len()
-	if err := write(); err != nil { // what is written here is always legal
-		panic(fmt.Sprintf("h2: %v", err))
+	if err := write(); err != nil { // what is written here is always legal; were it not, the connection is of no use
+		go c.lose(fmt.Errorf("h2: %w", err))
+		return
 	}
 	n := c.out.Len() - before
 	c.queued += int64(n)
@@ -240,7 +245,7 @@
 func (c *Conn) Start(req *Request, done func(Result)) (*Stream, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.settled || c.draining || c.lost != nil || len(c.streams) >= int(c.limit) || c.nextID >= maxStream-2 {
+	if !c.takes() || len(c.streams) >= int(c.limit) {
 		return nil, false
 	}
 	s := &Stream{conn: c, id: c.nextID, done: done, window: c.first, length: -1, rest: req.Body}
--- a/internal/h2/h2_test.go
+++ b/internal/h2/h2_test.go
@@ -249,12 +249,9 @@
 		io.Copy(io.Discard, nc)
 	}})
 	c = dial(t, p.Addr(), bounds)
-	time.Sleep(0)
-	for s, end = ask(t, c, "b", strings.Repeat("x", 70000)); ; {
-		s.Cancel()
-		want(t, end, h2.NeverRan)
-		break
-	}
+	s, end = ask(t, c, "b", strings.Repeat("x", 70000))
+	s.Cancel()
+	want(t, end, h2.NeverRan)
 	if len(end) > 0 || c.State().Active != 0 {
 		t.Error("its stream is not free again")
 	}
@@ -279,7 +276,9 @@
 	hold := make(chan struct{})
 	t.Cleanup(func() { close(hold) })
 	p := partner(t, &standin.H2{Raw: func(nc net.Conn, _ *http2.Framer) { <-hold }})
-	c := dial(t, p.Addr(), bounds)
+	opt := bounds
+	opt.PingAfter, opt.PingFor = 50*time.Millisecond, 50*time.Millisecond
+	c := dial(t, p.Addr(), opt)
 	var ends []<-chan h2.Result
 	for i := range 100 {
 		end := make(chan h2.Result, 1)
@@ -287,11 +286,26 @@
 			ends = append(ends, end)
 		}
 	}
-	c.Abort(h2.ErrClosed)
-	for _, end := range ends { // the window of 65,535 bytes lets one of them out whole
-		if r := await(t, end); r.Fate != h2.NeverRan && r.Fate != h2.Broken {
-			t.Errorf("%v", r.Fate)
+	fates := map[h2.Fate]int{}
+	for _, end := range ends {
+		fates[await(t, end).Fate]++
+	}
+	// The window of 65,535 bytes lets one of them out whole; no other has its last byte written.
+	if fates[h2.Silent] != 1 || fates[h2.NeverRan] != len(ends)-1 || len(ends) != 100 {
+		t.Errorf("%v of %d", fates, len(ends))
+	}
+}
+
+// A connection that is being closed takes nothing: a request behind its GOAWAY would pass for one that may have run.
+func TestCloseTakesNothing(t *testing.T) {
+	p := partner(t, &standin.H2{})
+	for range 50 {
+		c := dial(t, p.Addr(), bounds)
+		c.Close()
+		if _, ok := c.Start(request("m", ""), func(h2.Result) {}); ok || c.State().Open {
+			t.Fatal("a stream on a connection that is being closed")
 		}
+		<-c.Done()
 	}
 }
 
--- a/internal/knowledge/keeper/keeper.go
+++ b/internal/knowledge/keeper/keeper.go
@@ -49,7 +49,6 @@
 	book     *knowledge.Book // the writer's from here on
 	shift    float64         // wall clock less the sender's, when waits were last written
 	trouble  time.Time       // when it was last told
-	written  int             // snapshots
 	shrunkAt int             // destinations left out of the last one
 }
 
@@ -206,11 +205,7 @@
 		k.o.Log.Warn().Int("destinations", len(k.book.Dests)).Int("left_out", dropped).Msg("knowledge: room for part of it only")
 		k.shrunkAt = dropped
 	}
-	if err := k.o.Store.Save(left); err != nil {
-		k.report(err)
-		return
-	}
-	k.written++
+	k.report(k.o.Store.Save(left))
 }
 
 // yield gives room to the journal: copies first, then the snapshot. The next one is as large as there
--- a/internal/knowledge/keeper/keeper_test.go
+++ b/internal/knowledge/keeper/keeper_test.go
@@ -176,7 +176,7 @@
 	r.await(t, "rename "+store.WaitsName)
 	r.close(t)
 	w := r.read(t, store.BookName).Waits[knowledge.Route{Dest: 3}]
-	if left := w.End(1.8e12-3600e3) - (1.8e12 - 3600e3); left != 60000 && left != 59000 {
+	if left := w.End(1.8e12-3600e3) - (1.8e12 - 3600e3); left != 59000 {
 		t.Errorf("%v left", left)
 	}
 }
--- a/internal/knowledge/store/store.go
+++ b/internal/knowledge/store/store.go
@@ -157,10 +157,7 @@
 	if err := s.replace(BookName, text, need, keep); err != nil {
 		return err
 	}
-	if !s.held[WaitsName] {
-		return s.remove(WaitsName)
-	}
-	return nil
+	return s.remove(WaitsName)
 }
 
 // SaveWaits writes the waits of b alone: little, and often.
@@ -191,11 +188,13 @@
 func (s *Store) replace(name string, text []byte, need int64, keep bool) error {
 	fresh := name + newSuffix
 	if err := s.fs.Write(fresh, text, s.sync); err != nil {
+		err = errors.Join(fmt.Errorf("%s: %w", fresh, err), s.fs.Remove(fresh))
+		s.sizes[fresh] = statedir.Blocks(s.fs.Size(fresh)) // if it could not be removed, it takes its room
 		s.settle()
-		return errors.Join(fmt.Errorf("%s: %w", fresh, err), s.fs.Remove(fresh))
+		return err
 	}
 	s.sizes[fresh] = need
-	if keep && s.sizes[name] > 0 {
+	if keep && s.sizes[name] > 0 && !s.held[PrevName] {
 		if err := s.fs.Link(name, PrevName); err == nil {
 			s.sizes[PrevName] = s.sizes[name]
 		} else {
@@ -229,16 +228,14 @@
 
 // Drop gives up the snapshot itself: the journal needs the room. Waits stay.
 func (s *Store) Drop() error {
-	if s.held[BookName] {
-		return nil
-	}
 	err := s.remove(BookName)
 	s.claim(0)
 	return err
 }
 
+// remove removes a file, but never one of a newer format: that is the operator's to do.
 func (s *Store) remove(name string) error {
-	if s.sizes[name] == 0 {
+	if s.sizes[name] == 0 || s.held[name] {
 		return nil
 	}
 	if err := s.fs.Remove(name); err != nil {
--- a/internal/knowledge/store/store_test.go
+++ b/internal/knowledge/store/store_test.go
@@ -242,6 +242,18 @@
 	if still, _ := os.ReadFile(filepath.Join(dir, BookName)); !bytes.Equal(still, text) {
 		t.Error("the newer file was changed")
 	}
+	prev := t.TempDir() // the generation before is a file like any other
+	os.WriteFile(filepath.Join(prev, PrevName), text, 0o600)
+	s, _, _ = openIn(t, fsys.OS{Dir: prev})
+	for range 2 {
+		if err := s.Save(sample(2)); err != nil {
+			t.Error(err)
+		}
+	}
+	s.Shrink()
+	if still, _ := os.ReadFile(filepath.Join(prev, PrevName)); !bytes.Equal(still, text) {
+		t.Error("the newer generation before was changed")
+	}
 	if _, b, _ := openIn(t, fsys.OS{Dir: dir}); len(b.Waits) != 2 {
 		t.Errorf("waits: %+v", b.Waits)
 	}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -390,13 +390,15 @@
 func (s *Sender) takeOutcome(c *outbound.Call, events []policy.Event) {
 	delete(s.calls, c)
 	s.events = append(s.events, events...)
-	s.noteCall(c)
 	for i := range events {
 		e := &events[i]
 		if e.Wait > 0 {
 			s.hold(c)
 			s.noteWait(c, e.Wait)
 		}
+		if e.Outcome != policy.Moot { // one that was not sent tells nothing
+			s.noteCall(c)
+		}
 		m := s.msgs[e.ID]
 		if m == nil || m.call != c {
 			continue
