--- a/cmd/sliptide/h2_test.go
+++ b/cmd/sliptide/h2_test.go
@@ -34,13 +34,7 @@
 }
 
 func standIn(t *testing.T, p *standin.H2) *standin.H2 {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	p.Start(ln)
-	t.Cleanup(p.Close)
+	t.Cleanup(p.Listen().Close)
 	return p
 }
 
--- a/cmd/sliptide/knowledge_test.go
+++ b/cmd/sliptide/knowledge_test.go
@@ -320,16 +320,7 @@
 			}
 		}
 	}()
-	go func() { // platform
-		for {
-			select {
-			case <-r.notices:
-			case <-r.watches:
-			case <-stop:
-				return
-			}
-		}
-	}()
+	go r.quiet(stop)
 	var files, aside, waits, missed, snapshots int
 	begun := time.Now()
 	for life := range lives {
--- a/internal/h2/h2_test.go
+++ b/internal/h2/h2_test.go
@@ -22,13 +22,7 @@
 var bounds = h2.Options{MaxBody: 64 << 10, RestIn: 300 * time.Millisecond}
 
 func partner(t *testing.T, p *standin.H2) *standin.H2 {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	p.Start(ln)
-	t.Cleanup(p.Close)
+	t.Cleanup(p.Listen().Close)
 	return p
 }
 
--- a/internal/outbound/mux_test.go
+++ b/internal/outbound/mux_test.go
@@ -37,12 +37,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			p := &standin.H2{On: func(*standin.Request) standin.Reply { return row.reply }}
-			p.Start(ln)
+			p := (&standin.H2{On: func(*standin.Request) standin.Reply { return row.reply }}).Listen()
 			t.Cleanup(p.Close)
 			ended := make(chan []policy.Event, 2)
 			pool := NewPool(Options{MaxConns: 4, KeepAlive: time.Second, DialTimeout: 5 * time.Second, X0: -1, X1: -1,
@@ -69,12 +64,7 @@
 // answered in their time, while the two are at it.
 func TestBadPartnersHarmNoOther(t *testing.T) {
 	start := func(p *standin.H2) *standin.H2 {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		p.Start(ln)
-		t.Cleanup(p.Close)
+		t.Cleanup(p.Listen().Close)
 		return p
 	}
 	stop := make(chan struct{})
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -325,7 +325,7 @@
 		one.HTTP2 = false
 		partner = &one
 	}
-	nc, _, err := partner.dial(ctx, k.addr)
+	nc, _, err := partner.Dial(ctx, k.addr)
 	if err != nil {
 		if k.partner != nil {
 			k.pool.complain(k.endpoint, k.addr, err)
--- a/internal/standin/h2partner.go
+++ b/internal/standin/h2partner.go
@@ -55,9 +55,8 @@
 	conns map[*h2conn]bool
 	seen  int
 	runs  map[string]int // ledger: effects by message id
-	paths []string
-	acks  int // of SETTINGS
-	most  int // streams open at once on one connection
+	acks  int            // of SETTINGS
+	most  int            // streams open at once on one connection
 }
 
 // Start serves ln until Close.
@@ -79,6 +78,12 @@
 	}()
 }
 
+// Listen serves a loopback address of its own until Close. It panics where a test could not go on.
+func (p *H2) Listen() *H2 {
+	p.Start(must(net.Listen("tcp", "127.0.0.1:0")))
+	return p
+}
+
 // Addr is where it listens.
 func (p *H2) Addr() string { return p.ln.Addr().String() }
 
