The strict reader and schema writer become a package of their own, for any table

It moves to internal/strictxml, generic over what is read; the table of the operators' file stays in internal/operator.

--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -7,7 +7,11 @@
 
 import (
 	"fmt"
+	"io"
+	"path/filepath"
 	"time"
+
+	"sliptide/internal/strictxml"
 )
 
 // File is what the operators have set. Whatever the file leaves out stands at its default; every part
@@ -68,28 +72,50 @@
 // Default returns the settings of an operators' file that sets nothing.
 func Default() File {
 	var f File
-	spec().defaults(&f)
+	spec().Defaults(&f)
 	return f
 }
 
 // Error is one fault of an operators' file: where it is, what is wrong, what is allowed.
-type Error struct {
-	File    string
-	Line    int // 0: the whole file
-	What    string
-	Allowed string // empty if What says it all
+type Error = strictxml.Error
+
+// Load reads the operators' file at path; the files that it names are relative to its folder. Errors are
+// of type *Error.
+func Load(path string) (*File, error) {
+	f, err := strictxml.Open(path, spec())
+	if err != nil {
+		return nil, err
+	}
+	if err := f.check(path); err != nil {
+		return nil, err
+	}
+	for i := range f.Partners {
+		p := &f.Partners[i]
+		for _, name := range []*string{&p.CA, &p.Cert, &p.Key} {
+			if *name != "" && !filepath.IsAbs(*name) {
+				*name = filepath.Join(filepath.Dir(path), *name)
+			}
+		}
+	}
+	return f, nil
 }
 
-// Error is the one line that a person reads.
-func (e *Error) Error() string {
-	where := e.File
-	if e.Line > 0 {
-		where = fmt.Sprintf("%s:%d", e.File, e.Line)
+// Read reads an operators' file. Whatever it does not know, it refuses; name stands in messages.
+// Errors are of type *Error.
+func Read(name string, in io.Reader) (*File, error) {
+	f, err := strictxml.Read(name, in, spec())
+	if err != nil {
+		return nil, err
 	}
-	if e.Allowed == "" {
-		return fmt.Sprintf("%s: %s", where, e.What)
+	if err := f.check(name); err != nil {
+		return nil, err
 	}
-	return fmt.Sprintf("%s: %s; allowed: %s", where, e.What, e.Allowed)
+	return f, nil
+}
+
+// Schema returns the XML Schema of the operators' file.
+func Schema() string {
+	return strictxml.Schema(spec(), `The schema of the operators' file. "sliptide schema" writes it.`)
 }
 
 // check finds what a schema cannot: values that do not go together.
--- a/internal/operator/units.go
+++ b/internal/strictxml/units.go
@@ -1,4 +1,4 @@
-package operator
+package strictxml
 
 import (
 	"fmt"
@@ -9,7 +9,7 @@
 
 // parse reads a value. It takes whole numbers without a sign or leading zeros and with a unit, such as
 // 250ms, 7d or 256KiB, or one of the words.
-func (v *values) parse(text string) (int64, bool) {
+func (v *Values) parse(text string) (int64, bool) {
 	if v.text != nil {
 		return 0, v.text.MatchString(text)
 	}
@@ -37,7 +37,7 @@
 }
 
 // String says which values there are, for a message.
-func (v *values) String() string {
+func (v *Values) String() string {
 	if v.text != nil {
 		return v.what
 	}
@@ -55,7 +55,7 @@
 }
 
 // show writes n with the largest unit that leaves it whole.
-func (v *values) show(n int64) string {
+func (v *Values) show(n int64) string {
 	for i := len(v.units) - 1; i >= 0; i-- {
 		if u := v.units[i]; n%u.size == 0 && n >= u.size {
 			return strconv.FormatInt(n/u.size, 10) + u.name
@@ -66,7 +66,7 @@
 
 // pattern is a regular expression in XML Schema's form that matches just what parse takes (XML Schema
 // Part 2, appendix F; such a pattern is anchored).
-func (v *values) pattern() string {
+func (v *Values) pattern() string {
 	if v.text != nil {
 		return strings.TrimSuffix(strings.TrimPrefix(v.text.String(), "^("), ")$")
 	}
