A storm guard: paces, connections and come-back reservations for a partner's return

internal/storm is pure: it follows outcomes and hand-ins for each destination, sees outage, return, relapse and surge, and then gives a pace (this sender's part of the stated limit), connections a second and, for each refusal, a reserved moment to come again within max_retry_after. The module takes the pace by a new event and keeps it beside its own; the pool spaces new connections over HTTP/1.1 and HTTP/2.

--- a/cmd/sliptide/run.go
+++ b/cmd/sliptide/run.go
@@ -28,6 +28,7 @@
 	"sliptide/internal/partners"
 	"sliptide/internal/sender"
 	"sliptide/internal/statedir"
+	"sliptide/internal/storm"
 )
 
 const (
@@ -98,7 +99,7 @@
 	snd = sender.New(sender.Options{
 		Settings: cfg.Settings, Seed: cfg.Seed, Sockets: calls,
 		Journal: jr, Restored: restored, Notices: notices.Post, Memory: memory.Memory, Clock: clock, Log: log,
-		Partner: book.Of, Streams: partners.Streams,
+		Partner: book.Of, Streams: partners.Streams, Storms: guard(cfg, op.Storms),
 	})
 	listed := make(chan struct{}, 1)
 	asked := false // discovery is: what comes from here on is its word, an empty list too
@@ -152,6 +153,18 @@
 	return nil
 }
 
+// guard is the storm guard, nil where the part is off.
+func guard(cfg *config.Config, set operator.Storms) *storm.Guard {
+	if !set.Enabled {
+		return nil
+	}
+	limits := map[int]float64{}
+	for _, l := range set.Limits {
+		limits[l.Dest] = l.Rate
+	}
+	return storm.New(sender.GuardSettings(&cfg.Settings, limits), cfg.Seed)
+}
+
 // loadOperator reads the operators' file, or the defaults where there is none.
 func loadOperator(path string) (*operator.File, error) {
 	if path == "" {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -19,9 +19,22 @@
 type File struct {
 	Ready     Ready
 	Knowledge Knowledge
+	Storms    Storms
 	Partners  []Partner
 }
 
+// Storms sets how retry storms are damped.
+type Storms struct {
+	Enabled bool
+	Limits  []StatedLimit
+}
+
+// StatedLimit is a partner's limit as its contract has it.
+type StatedLimit struct {
+	Dest int
+	Rate float64 // calls a second, over all senders
+}
+
 // Protocol is how a partner is spoken to.
 type Protocol string
 
--- a/internal/operator/spec.go
+++ b/internal/operator/spec.go
@@ -63,6 +63,23 @@
 					halfLife("connections", "10m", "How idle and new connections fare.", func(h *HalfLives) *time.Duration { return &h.Connections }),
 				},
 			}},
+		}, {
+			Name: "storms", Doc: "Damping what comes back at once when a partner does: clients' second tries, the senders' backlog, their connections.",
+			Attrs: []attribute{{
+				Name: "enabled", Fallback: "false", Values: strictxml.OneOf("false", "true"), Doc: "Switches the part on.",
+				Put: func(f *File, v int64) { f.Storms.Enabled = v == 1 },
+			}},
+			Children: []element{{
+				Name: "limit", Doc: "A partner's limit as it stands in its contract, over all senders. A lower one that it tells goes first.", Repeated: true, Unique: "dest",
+				Add: func(f *File) { f.Storms.Limits = append(f.Storms.Limits, StatedLimit{}) },
+				Attrs: []attribute{{
+					Name: "dest", Required: true, Values: strictxml.Whole(0, 1<<16-1), Doc: "The number of the destination.",
+					Put: func(f *File, v int64) { f.Storms.Limits[len(f.Storms.Limits)-1].Dest = int(v) },
+				}, {
+					Name: "calls-per-second", Required: true, Values: strictxml.Whole(1, 1e6), Doc: "The calls that it takes.",
+					Put: func(f *File, v int64) { f.Storms.Limits[len(f.Storms.Limits)-1].Rate = float64(v) },
+				}},
+			}},
 		}, {
 			Name: "partners", Doc: "Partners that are not reached by plain HTTP/1.1.",
 			Children: []element{partnerSpec()},
--- a/internal/outbound/mux.go
+++ b/internal/outbound/mux.go
@@ -21,6 +21,7 @@
 	pool     *Pool
 	partner  *Partner
 	endpoint uint32
+	dest     int
 	addr     string
 
 	mu      sync.Mutex
@@ -32,6 +33,7 @@
 	plain   bool        // the partner chose HTTP/1.1 by ALPN
 	until   time.Time   // of a told wait: nothing that waits is sent
 	closing bool
+	dialAt  time.Time // the turn of the connection that was wanted last
 }
 
 // fates is what the end of a stream means to the decision module (RFC 9113 8.7; the protocol page's table).
@@ -49,7 +51,7 @@
 
 func newMux(p *Pool, partner *Partner, c *Call) *mux {
 	return &mux{
-		pool: p, partner: partner, endpoint: c.Endpoint, addr: c.Addr, conns: map[int]*h2.Conn{}, born: map[int]int{},
+		pool: p, partner: partner, endpoint: c.Endpoint, dest: c.Dest, addr: c.Addr, conns: map[int]*h2.Conn{}, born: map[int]int{},
 		place: placing.Pool{Set: placing.Settings{
 			MaxConns: max(partner.MaxConns, 1), Ahead: 0.9, Expect: 100, IdleFor: float64(p.opt.KeepAlive.Milliseconds()),
 		}},
@@ -121,7 +123,9 @@
 		}
 		pc := m.place.Dial()
 		m.born[pc.ID] = m.answers
-		go m.dial(pc.ID)
+		wait := m.pool.dialTurn(m.dest)
+		m.dialAt = time.Now().Add(wait)
+		time.AfterFunc(wait, func() { m.dial(pc.ID) })
 	}
 	return ends
 }
@@ -272,8 +276,11 @@
 	if c.begin() {
 		m.mu.Lock()
 		o := policy.ConnectFailed
-		if len(m.conns) > 0 {
+		switch {
+		case len(m.conns) > 0:
 			o = policy.Full
+		case time.Now().Before(m.dialAt): // our own pace kept it, and says nothing of the partner
+			o = policy.Moot
 		}
 		for i, w := range m.waiting {
 			if w == c {
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -95,11 +95,12 @@
 	open int
 	mux  map[uint32]*mux // by endpoint
 	told map[uint32]time.Time
+	pace map[int]*dialPace // by destination, of those whose connections are paced
 }
 
 // NewPool returns a Pool without connections.
 func NewPool(opt Options) *Pool {
-	return &Pool{opt: opt, idle: map[uint32][]*conn{}, mux: map[uint32]*mux{}, told: map[uint32]time.Time{}}
+	return &Pool{opt: opt, idle: map[uint32][]*conn{}, mux: map[uint32]*mux{}, told: map[uint32]time.Time{}, pace: map[int]*dialPace{}}
 }
 
 // conn is one connection; its goroutine serves one call after another.
@@ -175,25 +176,45 @@
 
 // single makes a call over HTTP/1.1, which carries one at a time on a connection.
 func (p *Pool) single(c *Call, partner *Partner) {
+	if p.onIdle(c, partner) {
+		return
+	}
+	wait := p.dialTurn(c.Dest)
+	switch {
+	case wait <= 0:
+		p.connect(c, partner)
+	case wait >= time.Until(c.SentAt.Add(c.Timeout)): // its time is up before its turn: it never ran
+		go p.fail(c, policy.Moot)
+	default: // a connection that has become idle meanwhile is as good
+		time.AfterFunc(wait, func() {
+			if c.state.Load() == waiting && !p.onIdle(c, partner) {
+				p.connect(c, partner)
+			}
+		})
+	}
+}
+
+// onIdle gives a call to a connection that stands idle, if there is one.
+func (p *Pool) onIdle(c *Call, partner *Partner) bool {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	for list := p.idle[c.Endpoint]; len(list) > 0; list = p.idle[c.Endpoint] {
 		k := list[len(list)-1]
 		p.idle[c.Endpoint] = list[:len(list)-1]
 		// An idle connection that its endpoint has closed (a crash, a restart) would turn a
 		// call that never ran into a reset, which may have run.
 		if k.addr == c.Addr && k.partner == partner && time.Since(k.usedAt) < p.fresh() && alive(k.nc) {
-			p.mu.Unlock()
-			k.calls <- c
-			return
+			k.calls <- c // holds one, and none is under way to a connection that was idle
+			return true
 		}
 		close(k.calls)
 	}
-	full := p.open >= p.opt.MaxConns && !p.evict()
-	if !full {
-		p.open++
-	}
-	p.mu.Unlock()
-	if full {
+	return false
+}
+
+// connect makes a call on a new connection, if there is room for one.
+func (p *Pool) connect(c *Call, partner *Partner) {
+	if !p.reserve() {
 		go p.fail(c, policy.ConnectFailed)
 		return
 	}
@@ -314,7 +335,7 @@
 }
 
 func (k *conn) dial(c *Call) bool {
-	limit := c.SentAt.Add(min(k.pool.opt.DialTimeout, c.Timeout))
+	limit := time.Now().Add(min(k.pool.opt.DialTimeout, time.Until(c.SentAt.Add(c.Timeout))))
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
 	partner := k.partner
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -15,6 +15,7 @@
 	"sliptide/internal/http1"
 	"sliptide/internal/journal"
 	"sliptide/internal/outbound"
+	"sliptide/internal/storm"
 	"sliptide/policy"
 )
 
@@ -112,6 +113,7 @@
 	// module takes a connection to carry where that is HTTP/2.
 	Partner func(dest int) *outbound.Partner
 	Streams int
+	Storms  *storm.Guard // nil: storms are not damped
 	Log     zerolog.Logger
 }
 
@@ -129,6 +131,7 @@
 	clock  Clock
 	now    float64
 	memory memory
+	guard  guard
 
 	msgs    map[uint64]*message // taken on and not over, and not waiting for a notice
 	traces  map[string]uint64
@@ -170,7 +173,7 @@
 		set: o.Settings, mod: policy.New(o.Settings, o.Seed), log: o.Log,
 		journal: o.Journal, notices: o.Notices,
 		in: make(chan input, queued), done: make(chan struct{}),
-		clock:   o.Clock,
+		clock: o.Clock, guard: guard{o.Storms},
 		partner: o.Partner, streams: o.Streams,
 		msgs:   map[uint64]*message{},
 		traces: map[string]uint64{},
@@ -228,6 +231,7 @@
 	}
 	s.msgs[e.Num] = &message{Entry: e}
 	s.traces[e.Trace] = e.Num
+	s.guard.held(e.Dest, 1)
 	ev := policy.Event{
 		Kind: policy.EvMessage, ID: e.Num, Class: class, Key: e.Item, Left: left, Again: e.Again,
 		Dest: e.Dest, Restored: true, Attempts: e.Attempts, Doubtful: e.DoubtAt != 0, Zone: e.DoubtZone,
@@ -363,9 +367,12 @@
 		o.verdict <- Verdict{NoRoute: true, RetryAfter: s.busyRetry()}
 		return
 	case !s.stopAt.IsZero(), left <= 0, s.set.MaxHeld > 0 && len(s.msgs) >= s.set.MaxHeld, !s.journal.Room(len(m.Body)):
-		o.verdict <- Verdict{RetryAfter: s.busyRetry()}
+		s.guard.arrived(s.now, m)
+		o.verdict <- Verdict{RetryAfter: s.comeBack(m.Dest, m.Key, max(left, 0), s.busyRetry())}
 		return
 	}
+	s.guard.arrived(s.now, m)
+	s.guard.held(m.Dest, 1)
 	e := &journal.Entry{
 		Num: s.journal.Next(), Trace: string(m.Trace), Key: string(m.Key), Class: s.set.Classes[m.Class].Name,
 		Item: m.Item, Dest: m.Dest, Again: m.Again, Deadline: int64(s.now + left), Body: slices.Clone(m.Body),
@@ -399,6 +406,7 @@
 		if e.Outcome != policy.Moot { // one that was not sent tells nothing
 			s.noteCall(c)
 		}
+		s.guard.outcome(s.now, e)
 		m := s.msgs[e.ID]
 		if m == nil || m.call != c {
 			continue
@@ -432,6 +440,7 @@
 
 func (s *Sender) takeList(l *discovery.List) {
 	s.recall(l)
+	s.guard.listed(s.now, endpoints(l), l.Full)
 	ev := policy.Event{Kind: policy.EvList, FullList: l.Full}
 	listed := make(map[uint32]bool, len(l.Entries))
 	for _, e := range l.Entries {
@@ -478,6 +487,7 @@
 func (s *Sender) forget(m *message) {
 	delete(s.msgs, m.Num)
 	delete(s.traces, m.Trace)
+	s.guard.held(m.Dest, -1)
 }
 
 // owe ends a message that was taken on by a notice. It is over once that is taken.
@@ -499,6 +509,7 @@
 		s.token = 0
 	}
 	s.cutShort()
+	s.weather()
 	s.actions = s.mod.Step(s.now, s.events, s.actions[:0])
 	s.events = s.events[:0]
 	for i := range s.actions {
@@ -607,9 +618,13 @@
 	if m == nil {
 		return
 	}
+	after := a.After
+	if a.Kind == policy.ActRefuse {
+		after = s.comeBack(m.Dest, []byte(m.Key), max(float64(m.Deadline)-s.now, 0), after)
+	}
 	for _, t := range s.orders {
 		if t.entry == m.Entry {
-			t.refused, t.after = true, a.After
+			t.refused, t.after = true, after
 			s.journal.End(m.Entry)
 			s.forget(m)
 			return
@@ -622,7 +637,7 @@
 	if a.Kind == policy.ActRefuse {
 		ending = journal.HandedBack
 	}
-	s.owe(m.Entry, ending, a.After)
+	s.owe(m.Entry, ending, after)
 }
 
 // answer gives the verdicts of this step.
@@ -682,6 +697,9 @@
 	if !s.stopAt.IsZero() {
 		wait = min(wait, 50*time.Millisecond)
 	}
+	if s.guard.Guard != nil {
+		wait = min(wait, millis(min(s.guard.Next()-s.clock.Now(), 1e6)))
+	}
 	if at, due := s.tellAt(); due {
 		wait = min(wait, millis(at-s.clock.Now()))
 	}
--- a/policy/api.go
+++ b/policy/api.go
@@ -113,6 +113,7 @@
 	EvTimer                      // Token
 	EvProbe                      // Endpoint, Outcome, Latency, Report
 	EvFacts                      // Facts, of an earlier life, on what lists of this same step name for the first time
+	EvPace                       // Dest, or Endpoint of one with a limit of its own; Pace, which caps what goes there
 )
 
 // Outcome tells how an attempt ended.
@@ -160,6 +161,7 @@
 	FullList bool // List replaces the list held before
 	Failed   bool
 	Facts    []DestFacts
+	Pace     float64 // calls a second; 0 = no longer
 }
 
 // ActionKind tells the actions apart.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,7 +54,6 @@
 	burstFor    = 500.0  // token bucket depth, as time at the pace
 	retryLo     = 200.0  // least retry-after of a refusal, and pause before the list is asked for again
 	retryDelay  = 150.0  // first pause of a message after a failed attempt
-
 	staleLeast  = 1000.0 // idle connections younger than this are not doubted
 	staleGain   = 0.25   // EWMA weight of a call on an idle connection
 	staleShare  = 0.3    // failing share of such calls above which they are not trusted
@@ -111,6 +110,8 @@
 			s.list(e)
 		case EvFacts:
 			s.recall(e.Facts)
+		case EvPace:
+			s.cap(e)
 		case EvMessage:
 			s.take(e)
 		case EvOutcome:
@@ -138,9 +139,8 @@
 		next = min(next, s.wakes[0].at)
 	}
 	s.arm(next)
-	out := s.out
-	s.out = nil
-	return out
+	actions, s.out = s.out, nil
+	return actions
 }
 
 // list follows the list of endpoints. An endpoint that drains or is gone gets nothing new from this very
@@ -195,8 +195,7 @@
 		s.out = append(s.out, Action{Kind: ActRefuse, ID: e.ID})
 		return
 	}
-	c := &s.set.Classes[e.Class]
-	d := s.destOf(e.Dest)
+	c, d := &s.set.Classes[e.Class], s.destOf(e.Dest)
 	left := min(e.Left, c.Deadline)
 	m := &message{id: e.ID, class: c, kind: e.Class, dest: d, arrived: s.now, doubtAt: -1}
 	m.deadline = s.now + left
@@ -394,9 +393,8 @@
 
 // serve makes one call for d if it may, and returns s.now if it did, else when it could at the earliest.
 func (s *Sender) serve(d *dest) float64 {
-	next := math.Inf(1)
 	var best *endpoint
-	bestCost := 0.0
+	next, bestCost := math.Inf(1), 0.0
 	for _, ep := range d.eps {
 		at := s.freeAt(ep)
 		if at > s.now {
@@ -442,8 +440,7 @@
 	if joins {
 		room -= best.step.size
 	}
-	var sent int
-	var later, took float64
+	sent, later, took := 0, 0.0, 0.0
 	for sent < room {
 		m, at := s.choose(d, best)
 		if m == nil {
@@ -570,6 +567,9 @@
 			return at
 		}
 	}
+	if r.cap > 0 { // a pace from outside, evenly spaced: burst upon burst of many senders would add up
+		return r.capTokens.fill(s.now, r.cap/1000, 1)
+	}
 	return s.now
 }
 
@@ -604,7 +604,7 @@
 		if s.suspect(ep) {
 			s.doubtful++
 		}
-		ep.route.tried.add(s.now, 1)
+		ep.route.count(s.now)
 		if ep.route.limit > 0 {
 			ep.route.tokens.v--
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -64,6 +64,8 @@
 	told      float64 // whole limit as told by the list or a report; 0 = none
 	reported  bool    // by a report
 	tokens    bucket
+	cap       float64 // pace from outside, calls a second; 0 = none
+	capTokens bucket
 	grownAt   float64
 	cutAt     float64
 	bound     bool // the pace held a message back since it last grew
@@ -86,6 +88,12 @@
 	return n
 }
 
+// count books a call.
+func (r *route) count(now float64) {
+	r.tried.add(now, 1)
+	r.capTokens.v--
+}
+
 // call is one call out, with one message or, where a destination allows, several.
 type call struct {
 	ep     *endpoint
@@ -356,6 +364,24 @@
 	d.accAt = s.now
 }
 
+// cap sets the pace that a route is given from outside. It starts at any point of the time between two calls:
+// senders that are given theirs in one moment must not call in step.
+func (s *Sender) cap(e *Event) {
+	r := (*route)(nil)
+	if ep := s.eps[e.Endpoint]; ep != nil {
+		r = ep.route
+	} else if d := s.dests[e.Dest]; d != nil && e.Endpoint == 0 {
+		r = d.shared
+	}
+	if r == nil {
+		return
+	}
+	if r.cap == 0 {
+		r.capTokens = bucket{s.rng.Float64(), s.now}
+	}
+	r.cap = e.Pace
+}
+
 // newEndpoint enters an endpoint into its destination, and its route if it is the first there.
 func (s *Sender) newEndpoint(l Endpoint) *endpoint {
 	kind := DestKind{Batch: 1}
