--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 
 generate: ## the schema and the protobuf code, after their sources have changed
 	go run ./cmd/sliptide schema > deploy/sliptide.xsd.new && mv deploy/sliptide.xsd.new deploy/sliptide.xsd
+	go run ./cmd/sliptide-lab schema > experiments/experiment.xsd.new && mv experiments/experiment.xsd.new experiments/experiment.xsd
 	cd internal/knowledge/pb && protoc --go_out=. --go_opt=paths=source_relative knowledge.proto
 
 run: build ## a sender with the example's configuration; `make toy` is the world round it
--- a/cmd/sliptide/rig_test.go
+++ b/cmd/sliptide/rig_test.go
@@ -149,6 +149,14 @@
 func newRigWith(t *testing.T, operator string, change func(settings, limits map[string]any), kinds ...string) *rig {
 	t.Helper()
 	t.Parallel()
+	r := makeRig(t, operator, change, kinds...)
+	r.start()
+	return r
+}
+
+// makeRig is newRigWith before the program's first start.
+func makeRig(t *testing.T, operator string, change func(settings, limits map[string]any), kinds ...string) *rig {
+	t.Helper()
 	r := &rig{t: t, calls: make(chan *call, 100), notices: make(chan notice, 100), watches: make(chan string, 1000),
 		state: t.TempDir(), path: filepath.Join(t.TempDir(), "config.json"), changed: make(chan struct{}), version: 1, list: []endpoint{}}
 	r.discovery = httptest.NewServer(http.HandlerFunc(r.serveDiscovery))
@@ -187,9 +195,10 @@
 	if operator != "" {
 		r.operate(operator)
 	}
-	r.start()
 	t.Cleanup(func() {
-		r.kill(syscall.SIGKILL)
+		if r.proc != nil {
+			r.kill(syscall.SIGKILL)
+		}
 		if s := r.logs.String(); t.Failed() || strings.Contains(s, "DATA RACE") || strings.Contains(s, "panic") {
 			t.Errorf("log of the sender:\n%s", s)
 		}
--- /dev/null
+++ b/cmd/sliptide/storm_test.go
@@ -0,0 +1,431 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// A partner that is down under several real senders and clients that storm. internal/lab has the same scenario
+// in its model, as experiments/storm.xml.
+
+const (
+	stormLimit = 40.0 // calls a second that the partner states, over all senders
+	stormWatch = 11   // seconds from the return that are looked at
+)
+
+// fallen is a stand-in partner that can be down: nobody listens then. It answers 429 over its limit, and comes
+// back cold: it is slow at first, as its caches are empty.
+type fallen struct {
+	addr  string
+	limit float64
+	tells bool // it tells its limit in each answer; else the limit stands in its contract alone
+
+	mu     sync.Mutex
+	srv    *http.Server
+	back   time.Time
+	calls  []time.Time
+	taken  []time.Time // of these, under the limit
+	dials  []time.Time
+	done   map[string]int // by idempotency key
+	doneAt []time.Time
+}
+
+func newFallen(t *testing.T, limit float64, tells bool) *fallen {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &fallen{addr: ln.Addr().String(), limit: limit, tells: tells, done: map[string]int{}}
+	p.serve(ln)
+	t.Cleanup(p.down)
+	return p
+}
+
+func (p *fallen) serve(ln net.Listener) {
+	srv := &http.Server{Handler: http.HandlerFunc(p.answer), ConnState: func(_ net.Conn, st http.ConnState) {
+		if st == http.StateNew {
+			p.mu.Lock()
+			p.dials = append(p.dials, time.Now())
+			p.mu.Unlock()
+		}
+	}}
+	p.mu.Lock()
+	p.srv = srv
+	p.mu.Unlock()
+	go srv.Serve(ln)
+}
+
+func (p *fallen) down() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.srv.Close()
+}
+
+func (p *fallen) up(t *testing.T) {
+	var ln net.Listener
+	for end := time.Now().Add(patient); ln == nil; { // its port may be a dialling sender's for a moment
+		var err error
+		if ln, err = net.Listen("tcp", p.addr); err != nil && time.Now().After(end) {
+			t.Fatal(err)
+		}
+	}
+	p.mu.Lock()
+	p.back = time.Now()
+	p.mu.Unlock()
+	p.serve(ln)
+}
+
+// window is how many calls were taken in the last second. The lock is held.
+func (p *fallen) window(now time.Time) (n int) {
+	for i := len(p.taken) - 1; i >= 0 && now.Sub(p.taken[i]) < time.Second; i-- {
+		n++
+	}
+	return n
+}
+
+func (p *fallen) answer(w http.ResponseWriter, q *http.Request) {
+	io.Copy(io.Discard, q.Body)
+	now := time.Now()
+	p.mu.Lock()
+	p.calls = append(p.calls, now)
+	over := float64(p.window(now)) >= p.limit
+	if !over {
+		p.taken = append(p.taken, now)
+	}
+	cold := !p.back.IsZero() && now.Sub(p.back) < 9*time.Second
+	p.mu.Unlock()
+	if p.tells {
+		w.Header().Set("Endpoint-Load-Metrics", fmt.Sprintf("TEXT x0=0.5, x1=%.1f", p.limit))
+	}
+	if over {
+		w.Header().Set("Retry-After", "0.3")
+		w.WriteHeader(429)
+		return
+	}
+	if cold {
+		time.Sleep(60 * time.Millisecond)
+	}
+	time.Sleep(30 * time.Millisecond)
+	p.mu.Lock()
+	p.done[q.Header.Get("Idempotency-Key")]++
+	p.doneAt = append(p.doneAt, time.Now())
+	p.mu.Unlock()
+	w.WriteHeader(200)
+}
+
+// perSecond counts times by the second after from.
+func perSecond(times []time.Time, from time.Time, n int) []int {
+	counts := make([]int, n)
+	for _, at := range times {
+		if i := int(at.Sub(from) / time.Second); !at.Before(from) && i < n {
+			counts[i]++
+		}
+	}
+	return counts
+}
+
+// stormRun is one run: what the partner saw from its return on.
+type stormRun struct {
+	calls, dials, done []int
+	handed, delivered  int
+	retries, refusals  int64
+	hold95             int // seconds until what is done a second is back at 95% of the load; -1: not in the time
+	early              int64
+}
+
+// crowdOf hands in messages at a rate, each up to three times, to senders at random as a front would. Half of
+// the clients come back when they were told, to the millisecond; the others do not care and come at once.
+type crowdOf struct {
+	t        *testing.T
+	rigs     []*rig
+	rng      *rand.Rand
+	mu       sync.Mutex
+	open     map[string]*tried // by trace id, taken on
+	wg       sync.WaitGroup
+	stop     chan struct{}
+	handed   atomic.Int64
+	retries  atomic.Int64
+	refusals atomic.Int64
+}
+
+type tried struct {
+	key   string
+	tries int
+	until time.Time
+	deaf  bool
+}
+
+func (c *crowdOf) draw() (sender int, deaf bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rng.IntN(len(c.rigs)), c.rng.IntN(2) == 0
+}
+
+// try hands a message in once more.
+func (c *crowdOf) try(m *tried) {
+	sender, _ := c.draw()
+	m.tries++
+	id := fmt.Sprintf("%s-%d", m.key, m.tries)
+	left := time.Until(m.until).Seconds()
+	if left < 0.05 {
+		return
+	}
+	q, _ := http.NewRequest("POST", "http://"+c.rigs[sender].addr+"/api", strings.NewReader("x"))
+	for k, v := range map[string]string{"X-Trace-Id": id, "X-Qos": "note", "X-Customer": "acme", "Idempotency-Key": m.key,
+		"X-Expires-In": strconv.FormatFloat(left, 'f', 3, 64), "X-Route-To": "dest=3"} {
+		q.Header.Set(k, v)
+	}
+	if m.tries > 1 {
+		q.Header.Set("X-Second-Try", "1")
+		c.retries.Add(1)
+	}
+	c.mu.Lock()
+	c.open[id] = m
+	c.mu.Unlock()
+	resp, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return // its sender is being restarted
+	}
+	io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+	if resp.StatusCode == 202 {
+		return
+	}
+	c.mu.Lock()
+	delete(c.open, id)
+	c.mu.Unlock()
+	after, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	c.again(m, time.Duration(after*float64(time.Second)))
+}
+
+// again is a refusal, by answer or by notice.
+func (c *crowdOf) again(m *tried, after time.Duration) {
+	c.refusals.Add(1)
+	if m.tries >= 3 {
+		return
+	}
+	if m.deaf {
+		after = 50 * time.Millisecond
+	}
+	c.wg.Add(1)
+	time.AfterFunc(after, func() {
+		defer c.wg.Done()
+		select {
+		case <-c.stop:
+		default:
+			c.try(m)
+		}
+	})
+}
+
+// listen takes the notices that senders give.
+func (c *crowdOf) listen(r *rig) {
+	for {
+		select {
+		case <-c.stop:
+			return
+		case n := <-r.notices:
+			c.mu.Lock()
+			m := c.open[n.Message]
+			delete(c.open, n.Message)
+			c.mu.Unlock()
+			if m != nil && n.Outcome == "handed_back" {
+				c.again(m, time.Duration(n.Retry)*time.Millisecond)
+			}
+		}
+	}
+}
+
+// hand hands in a new message.
+func (c *crowdOf) hand(key string) {
+	_, deaf := c.draw()
+	c.handed.Add(1)
+	c.wg.Add(1)
+	go func() {
+		defer c.wg.Done()
+		c.try(&tried{key: key, until: time.Now().Add(20 * time.Second), deaf: deaf})
+	}()
+}
+
+// run hands in at a rate for a while.
+func (c *crowdOf) run(rate float64, d time.Duration, name string) {
+	for i, end := 0, time.Now().Add(d); time.Now().Before(end); i++ {
+		c.mu.Lock()
+		gap := c.rng.ExpFloat64() / rate
+		c.mu.Unlock()
+		time.Sleep(time.Duration(gap * float64(time.Second)))
+		c.hand(fmt.Sprint(name, i))
+	}
+}
+
+// stormCase is how a partner goes down and comes back.
+type stormCase struct {
+	name    string
+	tells   bool
+	cold    float64 // milliseconds that the settings give it to warm up
+	down    time.Duration
+	restart bool // one sender is killed in the middle
+}
+
+// runStorm has a partner down for a while under senders and clients, with an operators' file.
+func runStorm(t *testing.T, operator string, seed uint64, senders int, sc stormCase) stormRun {
+	p, down, restart := newFallen(t, stormLimit, sc.tells), sc.down, sc.restart
+	c := &crowdOf{t: t, rng: rand.New(rand.NewPCG(seed, 9)), open: map[string]*tried{}, stop: make(chan struct{})}
+	for i := range senders {
+		r := makeRig(t, operator, func(settings, limits map[string]any) {
+			settings["balancers"], settings["index"] = senders, i
+			settings["callers"] = map[string]any{"marks_retry": true}
+			settings["limits"].(map[string]any)["max_retry_after"] = 5000
+			settings["contract"].(map[string]any)["cold"] = sc.cold
+		})
+		r.list = append(r.list, endpoint{ID: "s-p", Addr: p.addr, Zone: "a", Kind: "one", Cell: 3, State: "up"})
+		r.config["known"] = map[string]any{"version": 1, "full": true, "servers": r.list}
+		r.config["seed"] = fmt.Sprintf("%016x", seed*1000+uint64(i))
+		r.config["name"] = fmt.Sprint("n", i)
+		r.start()
+		c.rigs = append(c.rigs, r)
+		go c.listen(r)
+		go func() {
+			for {
+				select {
+				case <-r.watches:
+				case <-c.stop:
+					return
+				}
+			}
+		}()
+	}
+	load := 0.7 * stormLimit
+	c.run(load, 4*time.Second, "before-")
+	p.down()
+	if restart {
+		c.run(load, down/2, "down1-")
+		c.rigs[0].kill(syscall.SIGKILL)
+		c.rigs[0].start()
+		c.run(load, down/2, "down2-")
+	} else {
+		c.run(load, down, "down-")
+	}
+	p.up(t)
+	for i := range int(load) { // new work that has waited elsewhere comes in a clump
+		c.hand(fmt.Sprint("clump-", i))
+	}
+	c.run(load, stormWatch*time.Second, "after-")
+	close(c.stop)
+	c.wg.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := stormRun{calls: perSecond(p.calls, p.back, stormWatch), dials: perSecond(p.dials, p.back, stormWatch),
+		done: perSecond(p.doneAt, p.back, stormWatch), handed: int(c.handed.Load()), delivered: len(p.done),
+		retries: c.retries.Load(), refusals: c.refusals.Load(), hold95: -1}
+	for i, n := range s.done {
+		if float64(n) >= 0.95*load {
+			s.hold95 = i + 1
+			break
+		}
+	}
+	for key, n := range p.done {
+		if n > 1 && !restart { // keyed: what an attempt in doubt has done is dropped there
+			t.Logf("%s ran %d times", key, n)
+		}
+	}
+	return s
+}
+
+const stormsOn = `<knowledge enabled="true"/><storms enabled="true"><limit dest="3" calls-per-second="40"/></storms>`
+
+// A partner that was down is called within its stated limit in each second from its first one back.
+func TestReturnStaysWithinTheLimit(t *testing.T) {
+	for _, row := range []stormCase{
+		{"limit told, cold", true, 9000, 5 * time.Second, false},
+		{"limit in the contract alone, no word of cold, one sender restarted", false, 0, 5 * time.Second, true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			s := runStorm(t, stormsOn, 1, 3, row)
+			t.Logf("calls %v connections %v done %v", s.calls, s.dials, s.done)
+			total := 0
+			for i, n := range s.calls {
+				total += n
+				if float64(n) > stormLimit {
+					t.Errorf("second %d back: %d calls, limit %v", i+1, n, stormLimit)
+				}
+			}
+			if total < int(stormLimit) { // the promise must not be kept by silence
+				t.Errorf("%d calls in %d seconds", total, stormWatch)
+			}
+		})
+	}
+}
+
+// TestMeasureStorms tables the calls that the partner receives from its return on, before and after.
+func TestMeasureStorms(t *testing.T) {
+	measuring(t)
+	seeds, _ := strconv.Atoi(os.Getenv("SLIPTIDE_SEEDS"))
+	seeds = max(seeds, 1)
+	for _, sc := range []stormCase{
+		{"limit told, cold 9 s", true, 9000, 15 * time.Second, false},
+		{"limit in the contract alone, cold 9 s", false, 9000, 15 * time.Second, false},
+		{"limit in the contract alone, no word of cold", false, 0, 15 * time.Second, false},
+		{"the same, one sender restarted in the middle", false, 0, 15 * time.Second, true},
+	} {
+		for _, mode := range []struct{ name, operator string }{{"before", `<knowledge enabled="true"/>`}, {"after", stormsOn}} {
+			results := make([]stormRun, seeds)
+			t.Run(sc.name+"/"+mode.name, func(t *testing.T) {
+				for i := range results {
+					t.Run(fmt.Sprint(i), func(t *testing.T) {
+						t.Parallel()
+						results[i] = runStorm(t, mode.operator, uint64(i+1), 3, sc)
+					})
+				}
+			})
+			t.Log(tableStorms(sc.name+", "+mode.name, results))
+		}
+	}
+}
+
+func tableStorms(name string, results []stormRun) string {
+	var b strings.Builder
+	over, runsOver := 0, 0
+	fmt.Fprintf(&b, "%s, %d runs, limit %.0f\n", name, len(results), stormLimit)
+	for sec := range stormWatch {
+		var calls, dials, done []int
+		for _, r := range results {
+			calls, dials, done = append(calls, r.calls[sec]), append(dials, r.dials[sec]), append(done, r.done[sec])
+			if float64(r.calls[sec]) > stormLimit {
+				over++
+			}
+		}
+		slices.Sort(calls)
+		slices.Sort(dials)
+		slices.Sort(done)
+		mid := len(calls) / 2
+		fmt.Fprintf(&b, "second %2d: calls median %d most %d, connections median %d most %d, delivered median %d\n",
+			sec+1, calls[mid], calls[len(calls)-1], dials[mid], dials[len(dials)-1], done[mid])
+	}
+	var retries, refusals, handed, delivered int64
+	for _, r := range results {
+		retries, refusals, handed, delivered = retries+r.retries, refusals+r.refusals, handed+int64(r.handed), delivered+int64(r.delivered)
+		for _, n := range r.calls {
+			if float64(n) > stormLimit {
+				runsOver++
+				break
+			}
+		}
+	}
+	fmt.Fprintf(&b, "seconds over the limit %d of %d, runs with one %d; second tries %d, refusals %d, handed in %d, delivered %d (%.3f)",
+		over, len(results)*stormWatch, runsOver, retries, refusals, handed, delivered, float64(delivered)/float64(max(handed, 1)))
+	return b.String()
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -40,6 +40,7 @@
 	Knowledge knowledgeCmd `cmd:"" help:"Look at what senders have learned and keep over restarts."`
 	Journal   journalCmd   `cmd:"" help:"Look at what a sender has taken on."`
 	Partner   partnerCmd   `cmd:"" help:"Look at partners."`
+	Lab       labCmd       `cmd:"" help:"Try settings and partners in an emulator (starts sliptide-lab)."`
 	Version   versionCmd   `cmd:"" help:"Print the version."`
 }
 
@@ -129,9 +130,15 @@
 		return Misuse
 	}
 	err = ctx.Run()
+	var quiet told
 	switch {
 	case err == nil:
 		return Fine
+	case errors.As(err, &quiet):
+		if errors.Is(err, misuse) {
+			return Misuse
+		}
+		return Failed
 	case errors.Is(err, misuse), errors.Is(err, ErrConfig):
 		fmt.Fprintln(env.Err, "sliptide:", err)
 		return Misuse
--- /dev/null
+++ b/internal/lab/cli/cli.go
@@ -0,0 +1,267 @@
+// Package cli is the lab's command line. A sender links none of it: plots, distributions and progress bars
+// would cost it memory that the leanest machine has not, so the lab is a program of its own, which "sliptide
+// lab" starts.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/alecthomas/kong"
+	"github.com/schollz/progressbar/v3"
+
+	"sliptide/internal/lab/experiment"
+	"sliptide/internal/lab/report"
+	"sliptide/internal/lab/results"
+	"sliptide/internal/lab/runner"
+	"sliptide/internal/strictxml"
+)
+
+// The exit status.
+const (
+	Fine   = 0
+	Failed = 1
+	Misuse = 2
+)
+
+// Env is what the commands work with.
+type Env struct {
+	Ctx      context.Context
+	Out, Err io.Writer
+	Bar      bool // Err is a terminal
+}
+
+type grammar struct {
+	Run     runCmd     `cmd:"" help:"Run an experiment and write its results."`
+	List    listCmd    `cmd:"" help:"List the experiments of a folder, and their results."`
+	Report  reportCmd  `cmd:"" help:"Draw results as an HTML page."`
+	Compare compareCmd `cmd:"" help:"Tell in what two results differ by more than chance."`
+	Schema  schemaCmd  `cmd:"" help:"Print the XML Schema of experiment files."`
+}
+
+type runCmd struct {
+	File    string `arg:"" help:"The experiment file."`
+	Out     string `default:"lab-results" help:"Folder for NAME.json, NAME.csv and NAME.html." placeholder:"DIR"`
+	Workers int    `help:"Runs at a time; 0: one a core." default:"0"`
+	Seeds   int    `help:"Seeds of each point, in place of the file's." placeholder:"N"`
+}
+
+// Run runs the command.
+func (c *runCmd) Run(env *Env) error {
+	f, err := experiment.Load(c.File)
+	if err != nil {
+		return err
+	}
+	if c.Seeds > 0 {
+		f.Seeds = c.Seeds
+	}
+	if err := os.MkdirAll(c.Out, 0o777); err != nil {
+		return err
+	}
+	total := len(f.Points()) * f.Seeds
+	done := func() {}
+	if env.Bar {
+		bar := progressbar.NewOptions(total, progressbar.OptionSetWriter(env.Err), progressbar.OptionShowCount(),
+			progressbar.OptionSetDescription(f.Name), progressbar.OptionClearOnFinish())
+		done = func() { bar.Add(1) }
+	}
+	e, err := runner.Run(env.Ctx, f, c.Workers, done)
+	if err != nil {
+		return fmt.Errorf("%s: stopped, nothing is written: %w", f.Name, err)
+	}
+	base := filepath.Join(c.Out, f.Name)
+	for _, o := range []struct {
+		name  string
+		write func(io.Writer) error
+	}{
+		{base + ".json", e.WriteJSON}, {base + ".csv", e.WriteCSV},
+		{base + ".html", func(w io.Writer) error { return report.Write(w, e) }},
+	} {
+		if err := writeFile(o.name, o.write); err != nil {
+			return err
+		}
+	}
+	table(env.Out, e)
+	fmt.Fprintf(env.Out, "%d runs, %d events, %.0f a second on one core; %s.json, .csv, .html\n", total, e.Events, e.PerSecond, base)
+	return nil
+}
+
+// writeFile replaces a file only by a whole one.
+func writeFile(name string, write func(io.Writer) error) error {
+	f, err := os.CreateTemp(filepath.Dir(name), ".lab-*")
+	if err != nil {
+		return err
+	}
+	err = errors.Join(write(f), f.Chmod(0o644), f.Close())
+	if err == nil {
+		err = os.Rename(f.Name(), name)
+	}
+	if err != nil {
+		os.Remove(f.Name())
+	}
+	return err
+}
+
+// shown are the measures that a terminal has room for.
+var shown = []string{"first-second", "most-in-a-second", "seconds-over", "back-95", "goodput", "retries", "p99", "others-p99"}
+
+func table(out io.Writer, e *results.Experiment) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, strings.Join(e.Vary, "\t")+"\tlimit\t"+strings.Join(shown, "\t"))
+	for _, p := range e.Points {
+		fmt.Fprintf(w, "%s\t%.0f", strings.Join(p.Labels, "\t"), p.Limit)
+		for _, m := range shown {
+			s := p.Summary[m]
+			fmt.Fprintf(w, "\t%.4g±%.2g", s.Mean, s.Half)
+		}
+		fmt.Fprintln(w)
+	}
+	w.Flush()
+}
+
+type listCmd struct {
+	Folder  string `arg:"" default:"experiments" help:"Folder of experiment files."`
+	Results string `default:"lab-results" help:"Folder of their results." placeholder:"DIR"`
+}
+
+// Run runs the command.
+func (c *listCmd) Run(env *Env) error {
+	files, err := filepath.Glob(filepath.Join(c.Folder, "*.xml"))
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(env.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "experiment\tpoints\truns\tresults\tabout")
+	for _, name := range files {
+		f, err := experiment.Load(name)
+		if err != nil {
+			fmt.Fprintln(w, filepath.Base(name)+"\t-\t-\t-\t"+err.Error())
+			continue
+		}
+		have := "none"
+		if info, err := os.Stat(filepath.Join(c.Results, f.Name+".json")); err == nil {
+			have = info.ModTime().Format("2006-01-02 15:04")
+		}
+		n := len(f.Points())
+		fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%s\n", f.Name, n, n*f.Seeds, have, f.About)
+	}
+	return w.Flush()
+}
+
+type reportCmd struct {
+	File string `arg:"" help:"Results in JSON."`
+	Out  string `help:"The page; else beside the results." placeholder:"FILE"`
+}
+
+// Run runs the command.
+func (c *reportCmd) Run(env *Env) error {
+	e, err := load(c.File)
+	if err != nil {
+		return err
+	}
+	if c.Out == "" {
+		c.Out = strings.TrimSuffix(c.File, ".json") + ".html"
+	}
+	if err := writeFile(c.Out, func(w io.Writer) error { return report.Write(w, e) }); err != nil {
+		return err
+	}
+	fmt.Fprintln(env.Out, c.Out)
+	return nil
+}
+
+func load(name string) (*results.Experiment, error) {
+	in, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer in.Close()
+	e, err := results.ReadJSON(in)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	return e, nil
+}
+
+type compareCmd struct {
+	A     string  `arg:"" help:"Results in JSON."`
+	B     string  `arg:"" help:"Others."`
+	Level float64 `default:"0.01" help:"A difference is told that chance makes less often than this."`
+}
+
+// Run runs the command.
+func (c *compareCmd) Run(env *Env) error {
+	a, err := load(c.A)
+	if err != nil {
+		return err
+	}
+	b, err := load(c.B)
+	if err != nil {
+		return err
+	}
+	list, common := results.Compare(a, b, c.Level)
+	if common == 0 {
+		return errors.New("the two have no point in common")
+	}
+	w := tabwriter.NewWriter(env.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "point\tmeasure\ta\tb\tp")
+	for _, d := range list {
+		fmt.Fprintf(w, "%s\t%s\t%.4g±%.2g\t%.4g±%.2g\t%.2g\n", strings.Join(d.Labels, " "), d.Measure, d.A.Mean, d.A.Half, d.B.Mean, d.B.Half, d.P)
+	}
+	w.Flush()
+	fmt.Fprintf(env.Out, "%d points in common, %d differences (Welch's t-test, %g)\n", common, len(list), c.Level)
+	return nil
+}
+
+type schemaCmd struct{}
+
+// Run runs the command.
+func (schemaCmd) Run(env *Env) error {
+	_, err := io.WriteString(env.Out, experiment.Schema())
+	return err
+}
+
+type exit int
+
+// Main runs the command that args name and returns the exit status.
+func Main(args []string, env Env) (status int) {
+	defer func() { // kong ends the process after --help; here it ends the command
+		if r := recover(); r != nil {
+			code, ok := r.(exit)
+			if !ok {
+				panic(r)
+			}
+			status = int(code)
+		}
+	}()
+	var g grammar
+	parser, err := kong.New(&g, kong.Name("sliptide lab"),
+		kong.Description("An emulator of senders, clients and partners, and experiments with it."),
+		kong.Writers(env.Out, env.Err), kong.Exit(func(code int) { panic(exit(code)) }),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}), kong.Bind(&env))
+	if err != nil {
+		fmt.Fprintln(env.Err, "sliptide lab:", err)
+		return Failed
+	}
+	ctx, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintf(env.Err, "sliptide lab: %v (--help tells more)\n", err)
+		return Misuse
+	}
+	err = ctx.Run()
+	var bad *strictxml.Error
+	switch {
+	case err == nil:
+		return Fine
+	case errors.As(err, &bad):
+		fmt.Fprintln(env.Err, "sliptide lab:", err)
+		return Misuse
+	}
+	fmt.Fprintln(env.Err, "sliptide lab:", err)
+	return Failed
+}
--- /dev/null
+++ b/internal/lab/experiment/experiment.go
@@ -0,0 +1,168 @@
+// Package experiment reads the lab's experiment files: one world, what is varied in it, and the seeds. The
+// strict reader and the schema come from one table, as those of the operators' file do.
+//
+// It reads and checks. It runs nothing.
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"sliptide/internal/lab/world"
+	"sliptide/internal/strictxml"
+)
+
+const (
+	maxPoints = 4096 // of a grid
+	maxRuns   = 1 << 16
+)
+
+// File is one experiment.
+type File struct {
+	Name  string
+	About string
+	World world.Params
+	Vary  []Vary
+	First int // of the seeds
+	Seeds int
+}
+
+// Vary is one dimension of the grid.
+type Vary struct {
+	Name   string
+	Values []string
+}
+
+// Point is one point of the grid, named by what is varied.
+type Point struct {
+	Labels []string // the values, by the dimensions in order
+	Params world.Params
+}
+
+// String names the point.
+func (p *Point) String() string { return strings.Join(p.Labels, " ") }
+
+// spec is all that an experiment file may hold.
+func spec() *strictxml.Element[File] {
+	type attribute = strictxml.Attribute[File]
+	last := func(f *File) *Vary { return &f.Vary[len(f.Vary)-1] }
+	var names []string
+	var attrs []attribute
+	for _, p := range params() {
+		names = append(names, p.Name)
+		attrs = append(attrs, attribute{Name: p.Name, Doc: p.Doc, Fallback: p.Fallback, Values: p.Values,
+			Put: func(f *File, v int64) { p.Put(&f.World, v) }})
+	}
+	return &strictxml.Element[File]{
+		Name: "experiment", Doc: "A world of senders, clients and partners, and what is varied in it.",
+		Attrs: []attribute{{
+			Name: "version", Required: true, Doc: "The form of this file.", Values: strictxml.OneOf("1"),
+		}, {
+			Name: "name", Required: true, Doc: "The name of its results.", Values: strictxml.Text("[a-z0-9-]{1,60}", "small letters, digits and dashes"),
+			Text: func(f *File, v string) { f.Name = v },
+		}, {
+			Name: "about", Doc: "What it is to show.", Values: strictxml.Text("[^<>]{1,1000}", "a sentence"),
+			Text: func(f *File, v string) { f.About = v },
+		}},
+		Children: []strictxml.Element[File]{{
+			Name: "world", Doc: "Partner 0 goes down and comes back; all others stay well.", Attrs: attrs,
+		}, {
+			Name: "vary", Doc: "One dimension of the grid.", Repeated: true, Unique: "name",
+			Add: func(f *File) { f.Vary = append(f.Vary, Vary{}) },
+			Attrs: []attribute{{
+				Name: "name", Required: true, Doc: "An attribute of world.", Values: strictxml.OneOf(names...),
+				Put: func(f *File, v int64) { last(f).Name = names[v] },
+			}, {
+				Name: "values", Required: true, Doc: "Its values.", Values: strictxml.Text("[^ <>]+( [^ <>]+)*", "values with single blanks between"),
+				Text: func(f *File, v string) { last(f).Values = strings.Fields(v) },
+			}},
+		}, {
+			Name: "seeds", Doc: "Each point runs once for each seed.",
+			Attrs: []attribute{{
+				Name: "first", Fallback: "1", Doc: "The first seed.", Values: strictxml.Whole(0, 1e9),
+				Put: func(f *File, v int64) { f.First = int(v) },
+			}, {
+				Name: "count", Fallback: "5", Doc: "How many.", Values: strictxml.Whole(1, 10000),
+				Put: func(f *File, v int64) { f.Seeds = int(v) },
+			}},
+		}},
+	}
+}
+
+// Schema is the XML Schema of experiment files.
+func Schema() string {
+	return strictxml.Schema(spec(), `The schema of the lab's experiment files. "sliptide lab schema" writes it.`)
+}
+
+// Load reads the experiment file at path. Errors are of type *strictxml.Error.
+func Load(path string) (*File, error) {
+	f, err := strictxml.Open(path, spec())
+	if err != nil {
+		return nil, err
+	}
+	return f, f.check(path)
+}
+
+// Read reads an experiment; name stands in messages.
+func Read(name string, in io.Reader) (*File, error) {
+	f, err := strictxml.Read(name, in, spec())
+	if err != nil {
+		return nil, err
+	}
+	return f, f.check(name)
+}
+
+// check finds what the table cannot.
+func (f *File) check(name string) error {
+	points := 1
+	for _, v := range f.Vary {
+		p := paramOf(v.Name)
+		for i, text := range v.Values {
+			if _, ok := p.Values.Parse(text); !ok {
+				return &strictxml.Error{File: name, What: fmt.Sprintf("vary %s: value %q", v.Name, text), Allowed: p.Values.String()}
+			}
+			if slices.Contains(v.Values[:i], text) {
+				return &strictxml.Error{File: name, What: fmt.Sprintf("vary %s: value %q stands twice", v.Name, text), Allowed: "once"}
+			}
+		}
+		if points *= len(v.Values); points > maxPoints {
+			return &strictxml.Error{File: name, What: "the grid is too large", Allowed: fmt.Sprintf("%d points at most", maxPoints)}
+		}
+	}
+	if points*f.Seeds > maxRuns {
+		return &strictxml.Error{File: name, What: fmt.Sprintf("%d runs", points*f.Seeds), Allowed: fmt.Sprintf("%d at most", maxRuns)}
+	}
+	for _, p := range f.Points() {
+		if n := p.Params.Partners * p.Params.Endpoints; n > 20000 {
+			return &strictxml.Error{File: name, What: fmt.Sprintf("%d endpoints", n), Allowed: "20000 at most, over all partners"}
+		}
+	}
+	return nil
+}
+
+// Points is the grid, the last dimension changing fastest.
+func (f *File) Points() []Point {
+	points := []Point{{Params: f.World}}
+	for _, v := range f.Vary {
+		p := paramOf(v.Name)
+		var next []Point
+		for _, at := range points {
+			for _, text := range v.Values {
+				n := Point{Labels: append(slices.Clone(at.Labels), text), Params: at.Params}
+				value, _ := p.Values.Parse(text)
+				p.Put(&n.Params, value)
+				next = append(next, n)
+			}
+		}
+		points = next
+	}
+	return points
+}
+
+func paramOf(name string) *strictxml.Attribute[world.Params] {
+	list := params()
+	i := slices.IndexFunc(list, func(p strictxml.Attribute[world.Params]) bool { return p.Name == name })
+	return &list[i]
+}
--- /dev/null
+++ b/internal/lab/experiment/params.go
@@ -0,0 +1,108 @@
+package experiment
+
+import (
+	"time"
+
+	"sliptide/internal/lab/world"
+	"sliptide/internal/strictxml"
+)
+
+// params is what a world is made of, for its element and for what is varied.
+func params() []strictxml.Attribute[world.Params] {
+	type p = strictxml.Attribute[world.Params]
+	type w = world.Params
+	ms := func(v int64) float64 { return float64(v) / float64(time.Millisecond) }
+	yesNo := strictxml.OneOf("false", "true")
+	return []p{
+		{Name: "system", Fallback: "sliptide", Values: strictxml.OneOf("sliptide", "before", "backoff", "budget", "ideal"), Put: func(w *w, v int64) {
+			w.System = world.System([]string{"sliptide", "before", "backoff", "budget", "ideal"}[v])
+		},
+			Doc: "What the senders decide by: module and storm guard, the module alone, back-off with full jitter, that under a retry budget, or all that the partner can take."},
+		{Name: "senders", Fallback: "3", Values: strictxml.Whole(1, 1000), Put: func(w *w, v int64) { w.Senders = int(v) },
+			Doc: "Senders."},
+		{Name: "partners", Fallback: "1", Values: strictxml.Whole(1, 20000), Put: func(w *w, v int64) { w.Partners = int(v) },
+			Doc: "Partners, each a destination."},
+		{Name: "endpoints", Fallback: "1", Values: strictxml.Whole(1, 1000), Put: func(w *w, v int64) { w.Endpoints = int(v) },
+			Doc: "Endpoints of each partner."},
+		{Name: "load", Fallback: "28", Values: strictxml.Whole(1, 1000000), Put: func(w *w, v int64) { w.Load = float64(v) },
+			Doc: "New messages a second, over all partners."},
+		{Name: "limit", Fallback: "40", Values: strictxml.Whole(0, 1000000), Put: func(w *w, v int64) { w.Limit = float64(v) },
+			Doc: "Calls a second that each partner states, over all senders. 0: its load divided by 0.7."},
+		{Name: "span", Fallback: "0ms", Values: strictxml.Between(0, time.Minute), Put: func(w *w, v int64) { w.Span = ms(v) },
+			Doc: "The limit is counted in spans of this length, and a wait told to their end. 0ms: over any second."},
+		{Name: "tells", Fallback: "false", Values: yesNo, Put: func(w *w, v int64) { w.Tells = v == 1 },
+			Doc: "The limit is told in each answer; else it stands in the contract alone."},
+		{Name: "headroom", Fallback: "125", Values: strictxml.Whole(10, 1000), Put: func(w *w, v int64) { w.Headroom = float64(v) / 100 },
+			Doc: "What a partner can do, in percent of its limit."},
+		{Name: "queue", Fallback: "2s", Values: strictxml.Between(0, time.Minute), Put: func(w *w, v int64) { w.Queue = ms(v) },
+			Doc: "How much work may wait at a partner."},
+		{Name: "latency", Fallback: "30ms", Values: strictxml.Between(time.Millisecond, time.Minute), Put: func(w *w, v int64) { w.Latency = ms(v) },
+			Doc: "Mean time of a call."},
+		{Name: "sigma", Fallback: "30", Values: strictxml.Whole(0, 200), Put: func(w *w, v int64) { w.Sigma = float64(v) / 100 },
+			Doc: "Its log-normal spread, in percent."},
+		{Name: "cold", Fallback: "9s", Values: strictxml.Between(0, time.Hour), Put: func(w *w, v int64) { w.Cold = ms(v) },
+			Doc: "How long a partner is said to warm up after an outage."},
+		{Name: "warms-in", Fallback: "9s", Values: strictxml.Between(0, time.Hour), Put: func(w *w, v int64) { w.WarmsIn = ms(v) },
+			Doc: "How long it takes."},
+		{Name: "cold-from", Fallback: "25", Values: strictxml.Whole(1, 100), Put: func(w *w, v int64) { w.ColdFrom = float64(v) / 100 },
+			Doc: "What it can do at first, in percent."},
+		{Name: "tip-over", Fallback: "150", Values: strictxml.Whole(100, 1000), Put: func(w *w, v int64) { w.TipOver = float64(v) / 100 },
+			Doc: "Load, in percent of what a partner can do, that pushes it over"},
+		{Name: "tip-after", Fallback: "3s", Values: strictxml.Between(0, time.Hour), Put: func(w *w, v int64) { w.TipAfter = ms(v) },
+			Doc: "after so long."},
+		{Name: "falls-for", Fallback: "0ms", Values: strictxml.Between(0, time.Hour), Put: func(w *w, v int64) { w.FallsFor = ms(v) },
+			Doc: "A partner that was pushed over is down so long. 0ms: it does not fall."},
+		{Name: "connections", Fallback: "0", Values: strictxml.Whole(0, 1000000), Put: func(w *w, v int64) { w.Conns = int(v) },
+			Doc: "Connections that an endpoint holds. 0: any number."},
+		{Name: "dial", Fallback: "1ms", Values: strictxml.Between(0, time.Second), Put: func(w *w, v int64) { w.Dial = ms(v) },
+			Doc: "Time that a connection takes to come up."},
+		{Name: "warm-up", Fallback: "5s", Values: strictxml.Between(time.Second, time.Hour), Put: func(w *w, v int64) { w.Warm = ms(v) },
+			Doc: "The run before the outage."},
+		{Name: "outage", Fallback: "15s", Values: strictxml.Between(0, time.Hour), Put: func(w *w, v int64) { w.Outage = ms(v) },
+			Doc: "How long partner 0 is down."},
+		{Name: "outage-share", Fallback: "100", Values: strictxml.Whole(1, 100), Put: func(w *w, v int64) { w.OutShare = float64(v) / 100 },
+			Doc: "How many of its endpoints, in percent."},
+		{Name: "down", Fallback: "refuse", Values: strictxml.OneOf("refuse", "silent", "error", "wait"), Put: func(w *w, v int64) { w.Kind = world.Down([]string{"refuse", "silent", "error", "wait"}[v]) },
+			Doc: "How it is down: connections are refused, nothing answers, errors, or the wait to its return is told."},
+		{Name: "after", Fallback: "20s", Values: strictxml.Between(time.Second, time.Hour), Put: func(w *w, v int64) { w.After = ms(v) },
+			Doc: "The run from its return on."},
+		{Name: "limit-after", Fallback: "100", Values: strictxml.Whole(1, 1000), Put: func(w *w, v int64) { w.LimitAfter = float64(v) / 100 },
+			Doc: "Its limit from then on, in percent."},
+		{Name: "relapse-at", Fallback: "0ms", Values: strictxml.Between(0, time.Hour), Put: func(w *w, v int64) { w.RelapseAt = ms(v) },
+			Doc: "It falls once more so long after its return. 0ms: it does not."},
+		{Name: "relapse-for", Fallback: "5s", Values: strictxml.Between(time.Millisecond, time.Hour), Put: func(w *w, v int64) { w.RelapseFor = ms(v) },
+			Doc: "And for so long."},
+		{Name: "restarts", Fallback: "0", Values: strictxml.Whole(0, 1000), Put: func(w *w, v int64) { w.Restarts = int(v) },
+			Doc: "Senders that are killed in the middle of the outage and start again."},
+		{Name: "delists", Fallback: "false", Values: yesNo, Put: func(w *w, v int64) { w.Delists = v == 1 },
+			Doc: "Discovery takes what is down off its list."},
+		{Name: "news-late", Fallback: "1s", Values: strictxml.Between(0, time.Minute), Put: func(w *w, v int64) { w.NewsLate = ms(v) },
+			Doc: "Its news reaches each sender within this time."},
+		{Name: "tries", Fallback: "3", Values: strictxml.Whole(1, 100), Put: func(w *w, v int64) { w.Tries = int(v) },
+			Doc: "How often a client hands a message in."},
+		{Name: "honour", Fallback: "50", Values: strictxml.Whole(0, 100), Put: func(w *w, v int64) { w.Honour = float64(v) / 100 },
+			Doc: "Clients that come again when they were told, to the millisecond, in percent."},
+		{Name: "backing-up", Fallback: "0", Values: strictxml.Whole(0, 100), Put: func(w *w, v int64) { w.BackingUp = float64(v) / 100 },
+			Doc: "Clients that back off by their own measure, in percent. The rest comes again at once."},
+		{Name: "deaf-pause", Fallback: "50ms", Values: strictxml.Between(time.Millisecond, time.Minute), Put: func(w *w, v int64) { w.DeafPause = ms(v) },
+			Doc: "What at once is."},
+		{Name: "marks", Fallback: "true", Values: yesNo, Put: func(w *w, v int64) { w.Marks = v == 1 },
+			Doc: "Second tries are marked."},
+		{Name: "clump", Fallback: "100", Values: strictxml.Whole(0, 10000), Put: func(w *w, v int64) { w.Clump = float64(v) / 100 },
+			Doc: "New work that comes at the moment of return, in percent of a second's load."},
+		{Name: "deadline", Fallback: "20s", Values: strictxml.Between(100*time.Millisecond, time.Hour), Put: func(w *w, v int64) { w.Deadline = ms(v) },
+			Doc: "How long a message may be delivered."},
+		{Name: "aim", Fallback: "4s", Values: strictxml.Between(10*time.Millisecond, time.Hour), Put: func(w *w, v int64) { w.Aim = ms(v) },
+			Doc: "Until when it earns its full worth."},
+		{Name: "slots", Fallback: "20", Values: strictxml.Whole(1, 100000), Put: func(w *w, v int64) { w.Slots = int(v) },
+			Doc: "Calls that a sender may have out."},
+		{Name: "held", Fallback: "100", Values: strictxml.Whole(1, 1000000), Put: func(w *w, v int64) { w.Held = int(v) },
+			Doc: "Messages that a sender may hold."},
+		{Name: "max-retry-after", Fallback: "5s", Values: strictxml.Between(time.Millisecond, time.Hour), Put: func(w *w, v int64) { w.MaxRetry = ms(v) },
+			Doc: "The longest that clients are told."},
+		{Name: "batch", Fallback: "1", Values: strictxml.Whole(1, 100), Put: func(w *w, v int64) { w.Batch = int(v) },
+			Doc: "Messages of a call."},
+		{Name: "own-limits", Fallback: "false", Values: yesNo, Put: func(w *w, v int64) { w.Own = v == 1 },
+			Doc: "Each endpoint has a limit of its own, an even part of its partner's."},
+	}
+}
--- /dev/null
+++ b/internal/lab/runner/runner.go
@@ -0,0 +1,82 @@
+// Package runner runs an experiment's grid: each point once for each seed, on all cores. What comes out does
+// not depend on how many there are.
+package runner
+
+import (
+	"context"
+	"runtime"
+	"sync"
+	"time"
+
+	"sliptide/internal/lab/experiment"
+	"sliptide/internal/lab/results"
+	"sliptide/internal/lab/world"
+)
+
+type job struct{ point, seed int }
+
+// Run runs f with that many workers, 0 for one a core. done is called after each run, from any goroutine; it
+// may be nil. It returns the context's error if that ends first.
+func Run(ctx context.Context, f *experiment.File, workers int, done func()) (*results.Experiment, error) {
+	points := f.Points()
+	runs := make([][]results.Run, len(points))
+	limits := make([]float64, len(points))
+	for i := range runs {
+		runs[i] = make([]results.Run, f.Seeds)
+	}
+	if workers <= 0 {
+		workers = runtime.GOMAXPROCS(0)
+	}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var events uint64
+	var busy time.Duration
+	jobs := make(chan job)
+	for range workers {
+		wg.Go(func() {
+			for j := range jobs {
+				p := points[j.point].Params
+				began := time.Now()
+				r := world.New(p, uint64(f.First+j.seed)).Run(func() bool { return ctx.Err() != nil })
+				took := time.Since(began)
+				mu.Lock()
+				events += r.Events
+				busy += took
+				limits[j.point] = r.Limit
+				runs[j.point][j.seed] = results.Of(&p, r)
+				mu.Unlock()
+				if done != nil {
+					done()
+				}
+			}
+		})
+	}
+	for i := range points {
+		for k := range f.Seeds {
+			select {
+			case jobs <- job{i, k}:
+			case <-ctx.Done():
+			}
+		}
+	}
+	close(jobs)
+	wg.Wait()
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	e := &results.Experiment{Name: f.Name, About: f.About, Events: events, PerSecond: float64(events) / busy.Seconds()}
+	for _, v := range f.Vary {
+		e.Vary = append(e.Vary, v.Name)
+	}
+	for i := range points {
+		labels := points[i].Labels
+		if labels == nil {
+			labels = []string{}
+		}
+		e.Points = append(e.Points, results.Add(labels, &points[i].Params, limits[i], runs[i]))
+	}
+	if e.Vary == nil {
+		e.Vary = []string{}
+	}
+	return e, nil
+}
--- a/internal/storm/storm.go
+++ b/internal/storm/storm.go
@@ -22,6 +22,8 @@
 const (
 	failTogether = 3       // so many calls that fail, without a success between them,
 	silentFor    = 1500.0  // and none for so long, are an outage
+	fullTogether = 8       // refused calls show that somebody is there: so many, without a success between them
+	fullFor      = 4000.0  // and none for so long, are an outage, unless it has just come back: it is cold then
 	longWait     = 3000.0  // a told wait of so long is one, too: all that were told it come back at its end
 	settleLeast  = 10000.0 // a return is watched at least so long after the first success,
 	settleMost   = 60000.0 // and at most
@@ -36,6 +38,13 @@
 	surgeFor     = 3000.0  // a surge is over when it has not shown for so long
 	retryShare   = 0.2     // part of the pace that second tries are promised even where first tries would fill it
 	chance       = 2.5     // standard deviations kept free where many senders call by chance
+	growAfter    = 11000.0 // so long after the return a pace may grow again, by
+	growBy       = 1.1     // this a second, as long as nothing is refused: other senders may need less than their part,
+	growTo       = 4.0     // up to this times it
+	quietFor     = 2000.0  // without a refused call
+	cutBy        = 0.8     // refused calls lower it, once in
+	cutEvery     = 1000.0  // this time: what the partner takes may be less than it has stated,
+	cutLeast     = 0.2     // down to this part
 	unknownTimes = 2.0     // without a stated limit: this times the own rate before,
 	unknownLeast = 5.0     // and at least so much
 	dialShare    = 0.5     // connections a second, as part of the pace,
@@ -120,9 +129,15 @@
 	since    float64 // of the phase
 	lastOK   float64
 	fails    int // in a row
+	fulls    int // of these, refused calls
 	failAt   float64
 	failEp   uint32
 	falls    int
+	grown    float64 // what the pace has grown to, as a multiple
+	fullAt   float64 // the last refused call
+	cutAt    float64 // and when one last lowered the pace
+	oks      meter
+	mute     bool    // the last failure was no answer
 	backAt   float64 // the last return
 	surgeAt  float64 // second tries poured in last
 	waits    float64 // told: nothing is sent before
@@ -240,7 +255,7 @@
 func (g *Guard) dest(id int, now float64) *dest {
 	d := g.dests[id]
 	if d == nil {
-		d = &dest{id: id, lastOK: now, backAt: math.Inf(-1), surgeAt: math.Inf(-1)}
+		d = &dest{id: id, lastOK: now, grown: 1, backAt: math.Inf(-1), surgeAt: math.Inf(-1)}
 		g.dests[id] = d
 	}
 	return d
@@ -291,7 +306,7 @@
 	if p == Outage && now-d.backAt > relapse {
 		d.falls = 0
 	}
-	d.phase, d.since, d.lookAt = p, now, now
+	d.phase, d.since, d.lookAt, d.grown = p, now, now, 1
 	d.dirty, d.ordered = true, true
 	if p == Calm {
 		d.book, d.before = nil, 0
@@ -317,7 +332,8 @@
 		g.fall(d, now)
 	}
 	if e.Outcome == policy.OK {
-		d.fails, d.lastOK = 0, now
+		d.fails, d.fulls, d.lastOK = 0, 0, now
+		d.oks.add(now, 1)
 		if d.phase == Outage {
 			d.backAt = now
 			g.enter(d, Returning, now)
@@ -329,11 +345,32 @@
 	}
 	d.fails++
 	d.failAt, d.failEp = now, e.Endpoint
-	if d.phase != Outage && d.fails >= failTogether && now-d.lastOK >= silentFor {
+	if e.Outcome == policy.Full {
+		d.fulls++
+		d.fullAt = now
+		if d.phase == Returning && now-d.cutAt >= cutEvery {
+			d.grown, d.cutAt, d.dirty = max(min(d.grown, 1)*cutBy, cutLeast), now, true
+		}
+	}
+	silent := now - d.lastOK
+	d.mute = e.Outcome == policy.ConnectFailed || e.Outcome == policy.Timeout || e.Outcome == policy.Reset
+	if d.mute && d.phase == Calm { // it may show only with time
+		g.stormy[d.id] = d
+	}
+	dead := d.dead(now)
+	shut := d.phase != Returning && d.fails >= fullTogether && silent >= fullFor
+	if d.phase != Outage && (dead || shut) {
 		g.fall(d, now)
 	}
 }
 
+// dead tells whether calls fail together. A sender that calls seldom has few successes to weigh a failure
+// against, and would see an outage only when it is over: no answer where few calls were answered lately is enough.
+func (d *dest) dead(now float64) bool {
+	n := d.fails - d.fulls
+	return now-d.lastOK >= silentFor && (n >= failTogether || n > 0 && d.mute && float64(n) > d.oks.get(now)*meterTau/1000)
+}
+
 // fall begins an outage. One that follows a return soon is a relapse: the partner could not take what it got.
 func (g *Guard) fall(d *dest, now float64) {
 	if now-d.backAt <= relapse {
@@ -470,7 +507,7 @@
 		return max(unknownTimes*d.before, unknownLeast) / float64(routes) * cut
 	}
 	root := (math.Sqrt(chance*chance+4*limit) - chance) / 2
-	return max(limit/n-1, root*root/n) * cut
+	return min(max(limit/n-1, root*root/n)*cut*d.grown, limit)
 }
 
 // Orders returns what has changed since the last call: paces and connections while there is a storm, and once
@@ -507,6 +544,14 @@
 	drained := float64(d.held) <= max(g.part(d)*drainIn/1000, 1)
 	switch d.phase {
 	case Returning:
+		most := 1.0
+		if age >= growAfter {
+			most = growTo
+		}
+		if now-d.fullAt >= quietFor && d.grown < most {
+			d.grown = min(d.grown*math.Pow(growBy, lookEvery/1000), most)
+			d.dirty = true
+		}
 		if age >= settleMost || age >= settleLeast && drained {
 			g.enter(d, Calm, now)
 		}
@@ -514,6 +559,12 @@
 		if now-d.surgeAt >= surgeFor && drained || age >= settleMost {
 			g.enter(d, Calm, now)
 		}
+	case Calm:
+		if d.dead(now) {
+			g.fall(d, now)
+		} else if d.fails == 0 && !d.dirty {
+			delete(g.stormy, d.id)
+		}
 	case Outage: // of which nothing is tried any more: the next call tells
 		if now-max(d.failAt, d.since) >= settleMost && d.held == 0 {
 			g.enter(d, Calm, now)
--- a/internal/storm/storm_test.go
+++ b/internal/storm/storm_test.go
@@ -346,7 +346,7 @@
 		g := New(Settings{Senders: senders}, 1)
 		rng := rand.New(rand.NewPCG(1, uint64(senders)))
 		over, seconds, total := 0, 2000, 0
-		rate := g.rate(&dest{}, 100, 1)
+		rate := g.rate(g.dest(7, 0), 100, 1)
 		counts := make([]int, seconds)
 		for range senders {
 			for at := rng.Float64() / rate; at < float64(seconds); at += 1 / rate {
--- a/internal/strictxml/read.go
+++ b/internal/strictxml/read.go
@@ -180,7 +180,7 @@
 			return r.fail("once", "attribute %s stands twice in <%s>", spec.Name, e.Name)
 		}
 		seen[spec.Name] = true
-		v, ok := spec.Values.parse(a.Value)
+		v, ok := spec.Values.Parse(a.Value)
 		if !ok {
 			return r.fail(spec.Values.String(), "%s=%q in <%s>", spec.Name, a.Value, e.Name)
 		}
--- a/internal/strictxml/spec.go
+++ b/internal/strictxml/spec.go
@@ -87,7 +87,7 @@
 func (e *Element[T]) own(f *T) {
 	for i := range e.Attrs {
 		if a := &e.Attrs[i]; a.Put != nil && a.Fallback != "" {
-			v, _ := a.Values.parse(a.Fallback)
+			v, _ := a.Values.Parse(a.Fallback)
 			a.Put(f, v)
 		}
 		if a := &e.Attrs[i]; a.Text != nil && a.Fallback != "" {
--- a/internal/strictxml/units.go
+++ b/internal/strictxml/units.go
@@ -7,9 +7,9 @@
 	"strings"
 )
 
-// parse reads a value. It takes whole numbers without a sign or leading zeros and with a unit, such as
+// Parse reads a value. It takes whole numbers without a sign or leading zeros and with a unit, such as
 // 250ms, 7d or 256KiB, or one of the words.
-func (v *Values) parse(text string) (int64, bool) {
+func (v *Values) Parse(text string) (int64, bool) {
 	if v.text != nil {
 		return 0, v.text.MatchString(text)
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -82,6 +82,7 @@
 	followAfter = 3000.0  // an endpoint that succeeded so lately does not follow a failed one of its route
 	trialAge    = 2.0     // senders that hold something for an outage grow with its age: so does the pause,
 	trialPer    = 600.0   // up to this times the number of senders, which is enough when all hold something
+	capTrials   = 0.2     // share of a pace from outside that trials may take
 	rampMargin  = 0.65    // share of what fail-back allows that is used; other senders ramp at their own
 	rampDepth   = 0.2     // the ramp's budget saves up this part of TipAfter
 	baseLeast   = 0.25    // own rate before an outage is taken as this at least, for
@@ -282,11 +283,6 @@
 	}
 }
 
-func (c *controller) reset(now float64) {
-	*c = controller{since: now, seen: now, pa: 1, pam: 1, theta: [2]float64{theta1Start, theta2Start}}
-	c.p[0][0], c.p[1][1] = rlsP0, rlsP0
-}
-
 func (c *controller) arrive(now float64) {
 	if now-c.seen > ageAfter {
 		c.reset(now)
@@ -519,8 +515,7 @@
 		if ep.leaks && s.few() {
 			// It answers, if mostly with errors: what a cold destination can take in any case goes on, since each call
 			// may be the one that is taken on, and shows at once that the outage is over.
-			rate := s.rampRate(ep, s.set.ColdFrom)
-			if at := ep.budget.fill(s.now, rate, 1+rate*s.set.TipAfter*rampDepth); at > s.now {
+			if at := s.rampAt(ep, s.set.ColdFrom); at > s.now {
 				return at
 			}
 			break
@@ -547,8 +542,7 @@
 			break
 		}
 		share := s.set.ColdFrom + (1-s.set.ColdFrom)*t
-		rate := s.rampRate(ep, share)
-		if at := ep.budget.fill(s.now, rate, 1+rate*s.set.TipAfter*rampDepth); at > s.now {
+		if at := s.rampAt(ep, share); at > s.now {
 			return at
 		}
 	}
@@ -562,6 +556,7 @@
 		return math.Inf(1)
 	}
 	if r.limit > 0 {
+		r.limit = max(r.limit, r.cap) // what an outage has left of it counts for little beside a known limit
 		if at := r.tokens.fill(s.now, r.limit/1000, max(1, r.limit*burstFor/1000)); at > s.now {
 			r.bound = true
 			return at
@@ -573,10 +568,10 @@
 	return s.now
 }
 
-// rampRate is how much a millisecond may go to ep when its destination has this share of its capacity.
-func (s *Sender) rampRate(ep *endpoint, share float64) float64 {
+// rampAt is when ep may next be called if its destination has this share of its capacity.
+func (s *Sender) rampAt(ep *endpoint, share float64) float64 {
 	r := ep.route
-	own := max(ep.base, baseLeast*min(1, baseFew/float64(max(s.set.Senders, 1))))
+	own := max(ep.base, baseLeast*min(1, baseFew/float64(max(s.set.Senders, 1))), r.cap/float64(max(r.listed(), 1)))
 	if s.few() { // its part of a told limit, which is under the capacity, is safe and may be much more
 		sure := ratedSure
 		if r.reported {
@@ -584,7 +579,8 @@
 		}
 		own = max(own, sure*s.even(r)/float64(max(r.listed(), 1)))
 	}
-	return own * share * s.set.TipMultiple * rampMargin / 1000
+	rate := own * share * s.set.TipMultiple * rampMargin / 1000
+	return ep.budget.fill(s.now, rate, 1+rate*s.set.TipAfter*rampDepth)
 }
 
 func (s *Sender) suspect(ep *endpoint) bool {
@@ -605,9 +601,6 @@
 			s.doubtful++
 		}
 		ep.route.count(s.now)
-		if ep.route.limit > 0 {
-			ep.route.tokens.v--
-		}
 		if ep.state != closed {
 			ep.budget.v--
 		}
@@ -627,8 +620,7 @@
 		d.ctl.delays += s.now - m.arrived
 		d.ctl.sent++
 	}
-	m.attempts++
-	m.out = c
+	m.attempts, m.out = m.attempts+1, c
 	s.unqueue(m)
 	limit := max(timeoutOf*d.lat.high(latDevs), timeoutLo) * ep.stretch
 	if ep.state == open { // the sooner a silent one is over, the sooner the next may find it back
@@ -914,12 +906,20 @@
 	from := max(s.now, ep.route.waitUntil) // all that were told a wait come back at its end
 	pause = max(pause, min(trialAge*(from-ep.openAt), trialPer*n))
 	pause = max(pause, n*trialDense*min(float64(len(ep.dest.queue)-1)/2, 1)) // several here: most hold some
-	ep.nextTrial = from + s.around(pause)
+	ep.nextTrial = s.trialBy(ep.route, from+s.around(pause))
 	for _, o := range ep.dest.eps { // they come back, and are pushed over, together
 		s.follow(o, ep)
 	}
 }
 
+// trialBy puts a trial forward where the limit is known: a share of this sender's part may go into them.
+func (s *Sender) trialBy(r *route, at float64) float64 {
+	if r.cap <= 0 {
+		return at
+	}
+	return min(at, max(s.now, r.waitUntil)+s.around(max(trialLo, 1000/(capTrials*r.cap))))
+}
+
 // around spreads the pauses of senders that fail together: the more there are, the wider.
 func (s *Sender) around(v float64) float64 {
 	if s.few() {
--- a/policy/state.go
+++ b/policy/state.go
@@ -92,6 +92,9 @@
 func (r *route) count(now float64) {
 	r.tried.add(now, 1)
 	r.capTokens.v--
+	if r.limit > 0 {
+		r.tokens.v--
+	}
 }
 
 // call is one call out, with one message or, where a destination allows, several.
@@ -320,6 +323,11 @@
 	pa       float64
 }
 
+func (c *controller) reset(now float64) {
+	*c = controller{since: now, seen: now, pa: 1, pam: 1, theta: [2]float64{theta1Start, theta2Start}}
+	c.p[0][0], c.p[1][1] = rlsP0, rlsP0
+}
+
 // without takes v from list, which keeps its order.
 func without[T comparable](list []T, v T) []T {
 	if i := slices.Index(list, v); i >= 0 {
@@ -380,6 +388,11 @@
 		r.capTokens = bucket{s.rng.Float64(), s.now}
 	}
 	r.cap = e.Pace
+	for _, ep := range r.endpoints {
+		if ep.state == open {
+			ep.nextTrial = s.trialBy(r, ep.nextTrial)
+		}
+	}
 }
 
 // newEndpoint enters an endpoint into its destination, and its route if it is the first there.
