OTLP export: a message is one trace; a collector that is dead costs nothing

internal/telemetry makes traces (waits with their cause, attempts, the end) and metrics of small records that the sender pushes into a queue bounded in bytes; internal/telemetry/otlp sends them over HTTP/protobuf or gRPC, with the retries, waits and partial success of the specification, and counts what it drops. Off unless <telemetry> is switched on. A client's traceparent is journaled, so that a restarted sender continues the trace. internal/lab/collector is a stand-in that can be a hole, slow, full or lying.

--- a/cmd/sliptide/run.go
+++ b/cmd/sliptide/run.go
@@ -29,12 +29,15 @@
 	"sliptide/internal/sender"
 	"sliptide/internal/statedir"
 	"sliptide/internal/storm"
+	"sliptide/internal/telemetry"
+	"sliptide/internal/telemetry/otlp"
 )
 
 const (
 	clientsCome = 500 * time.Millisecond // after a SIGTERM, new connections still come so long
 	leaveBy     = 3200 * time.Millisecond
-	knowBy      = 200 * time.Millisecond // the last snapshot may take so long
+	knowBy      = 200 * time.Millisecond // the last snapshot may take so long,
+	telemetryBy = 200 * time.Millisecond // and the last traces
 	lockFor     = 5 * time.Second        // a predecessor in the state folder is waited for so long
 	spareFiles  = 32                     // descriptors that are no clients' or endpoints' connections
 
@@ -96,10 +99,14 @@
 	sockets := cfg.Limits.Sockets - spareFiles
 	// The rest is for clients: many may hold a connection and say nothing.
 	calls := min(sockets*2/5, idleCalls+callsForSlot*cfg.Settings.CallSlots)
+	pipe, err := openTelemetry(cfg, op.Telemetry, clock, log)
+	if err != nil {
+		return fmt.Errorf("%w: telemetry: %w", cli.ErrConfig, err)
+	}
 	snd = sender.New(sender.Options{
 		Settings: cfg.Settings, Seed: cfg.Seed, Sockets: calls,
 		Journal: jr, Restored: restored, Notices: notices.Post, Memory: memory.Memory, Clock: clock, Log: log,
-		Partner: book.Of, Streams: partners.Streams, Storms: guard(cfg, op.Storms),
+		Partner: book.Of, Streams: partners.Streams, Storms: guard(cfg, op.Storms), Watch: pipe.Records(),
 	})
 	listed := make(chan struct{}, 1)
 	asked := false // discovery is: what comes from here on is its word, an empty list too
@@ -146,6 +153,7 @@
 	}
 	shutdown(server, snd, ln)
 	memory.close()
+	closeTelemetry(pipe)
 	if err := jr.Close(); err != nil {
 		return err
 	}
@@ -153,6 +161,30 @@
 	return nil
 }
 
+// openTelemetry starts the way to a collector, nil where the part is off.
+func openTelemetry(cfg *config.Config, set operator.Telemetry, clock sender.Clock, log zerolog.Logger) (*otlp.Pipe, error) {
+	if !set.Enabled {
+		return nil, nil
+	}
+	o, err := otlp.Configure(set, cfg.Name, os.Getenv)
+	if err != nil {
+		return nil, err
+	}
+	o.Set = telemetry.Settings{Classes: cfg.Settings.Classes, Life: int(clock.Now())}
+	o.Now = clock.Now
+	o.Log = func(err error, dropped uint64) {
+		log.Warn().Err(err).Uint64("dropped", dropped).Str("endpoint", o.Target.URL).Msg("telemetry: the collector does not take")
+	}
+	return otlp.NewPipe(o)
+}
+
+// closeTelemetry sends what is left, within its bound.
+func closeTelemetry(p *otlp.Pipe) {
+	ctx, cancel := context.WithTimeout(context.Background(), telemetryBy)
+	defer cancel()
+	p.Close(ctx)
+}
+
 // guard is the storm guard, nil where the part is off.
 func guard(cfg *config.Config, set operator.Storms) *storm.Guard {
 	if !set.Enabled {
--- /dev/null
+++ b/cmd/sliptide/telemetry_test.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	trace "go.opentelemetry.io/proto/slim/otlp/trace/v1"
+
+	"sliptide/internal/lab/collector"
+)
+
+// collect starts a stand-in collector, over gRPC or HTTP, and returns what an operators' file says of it.
+func collect(t *testing.T, overGRPC bool) (*collector.Collector, string) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &collector.Collector{}
+	protocol := "http/protobuf"
+	if overGRPC {
+		protocol = "grpc"
+		c.ServeGRPC(ln)
+	} else {
+		c.ServeHTTP(ln)
+	}
+	t.Cleanup(c.Close)
+	return c, fmt.Sprintf(`<telemetry enabled="true" endpoint="http://%s" protocol="%s" every="1s" share="100"/>`, ln.Addr(), protocol)
+}
+
+// awaitTraces waits until so many whole traces have arrived.
+func awaitTraces(t *testing.T, c *collector.Collector, n int) map[string][]*trace.Span {
+	t.Helper()
+	for end := time.Now().Add(patient); ; {
+		traces, err := collector.Whole(c.Spans())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(traces) >= n {
+			return traces
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%d traces of %d", len(traces), n)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func attrOf(s *trace.Span, key string) string {
+	for _, a := range s.Attributes {
+		if a.Key == key {
+			return a.Value.GetStringValue()
+		}
+	}
+	return ""
+}
+
+// Each message is one whole trace at the collector: those of a life that SIGKILL ended too, in the context that
+// its client gave, with what its clients must not find there left out.
+func TestEachMessageIsOneTrace(t *testing.T) {
+	for _, overGRPC := range []bool{false, true} {
+		t.Run(fmt.Sprint("grpc ", overGRPC), func(t *testing.T) {
+			c, file := collect(t, overGRPC)
+			r := newRigWith(t, file, nil, "one")
+			for i := range 20 {
+				r.take(fmt.Sprint("plain-", i), 0, 20, "secret body")
+				r.callFor(fmt.Sprint("plain-", i)).status(200)
+			}
+			const parent = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"
+			q, _ := http.NewRequest("POST", "http://"+r.addr+"/api", strings.NewReader("secret body"))
+			for k, v := range map[string]string{"X-Trace-Id": "known", "X-Qos": "note", "X-Customer": "acme", "Idempotency-Key": "secret-key",
+				"X-Expires-In": "20", "X-Route-To": "dest=0", "traceparent": parent} {
+				q.Header.Set(k, v)
+			}
+			resp, err := http.DefaultClient.Do(q)
+			if err != nil || resp.StatusCode != 202 {
+				t.Fatal(resp, err)
+			}
+			resp.Body.Close()
+			r.callFor("known") // out when the process is killed
+			r.kill(syscall.SIGKILL)
+			r.start()
+			r.callFor("known").status(200)
+			r.kill(syscall.SIGTERM) // which sends what is left
+			traces := awaitTraces(t, c, 1)
+			known := traces["4bf92f3577b34da6a3ce929d0e0e4736"]
+			if len(known) < 2 || fmt.Sprintf("%x", known[0].ParentSpanId) != "00f067aa0ba902b7" || attrOf(known[0], "sliptide.restored_with_attempts") != "1" ||
+				attrOf(known[0], "sliptide.end") != "delivered" {
+				t.Errorf("the message that outlived its process: %v", known)
+			}
+			if text := fmt.Sprint(c.Spans()); strings.Contains(text, "secret") {
+				t.Errorf("a body or a key is among the attributes")
+			}
+		})
+	}
+}
+
+// All messages of a life that ends in good order are there, with their attempts and waits.
+func TestTracesTellOfAttempts(t *testing.T) {
+	c, file := collect(t, false)
+	r := newRigWith(t, file, nil, "one")
+	r.take("a", 0, 20, "x")
+	r.callFor("a").status(500)
+	r.callFor("a").status(429, "Retry-After", "0.2")
+	r.callFor("a").status(200)
+	for i := range 30 {
+		id := fmt.Sprint("b", i)
+		r.take(id, 0, 20, "x")
+		r.callFor(id).status(200)
+	}
+	traces := awaitTraces(t, c, 31)
+	for _, spans := range traces {
+		if attrOf(spans[0], "messaging.message.id") != "a" {
+			continue
+		}
+		var outcomes, waits []string
+		for _, s := range spans[1:] {
+			if o := attrOf(s, "sliptide.outcome"); o != "" {
+				outcomes = append(outcomes, o)
+			} else {
+				waits = append(waits, attrOf(s, "sliptide.wait.cause"))
+			}
+		}
+		if fmt.Sprint(outcomes) != "[error turned_away delivered]" || !strings.Contains(fmt.Sprint(waits), "told_wait") {
+			t.Errorf("outcomes %v, waits %v", outcomes, waits)
+		}
+		return
+	}
+	t.Error("message a has no trace")
+}
+
+// A sender whose collector is a black hole delivers, and stops in its time.
+func TestBlackHoleDelaysNothing(t *testing.T) {
+	c, file := collect(t, true)
+	c.Set(collector.Mood{Hole: true})
+	r := newRigWith(t, file, nil, "one")
+	for i := range 50 {
+		id := fmt.Sprint("m", i)
+		r.take(id, 0, 20, "x")
+		r.callFor(id).status(200)
+	}
+	began := time.Now()
+	r.kill(syscall.SIGTERM)
+	if took := time.Since(began); took > 3700*time.Millisecond { // when SIGKILL would follow
+		t.Errorf("the stop took %v", took)
+	}
+}
--- a/internal/intake/api.go
+++ b/internal/intake/api.go
@@ -84,6 +84,7 @@
 	if msg.Dest = dest(h.Get("X-Route-To")); msg.Dest < 0 {
 		return msg, "X-Route-To"
 	}
+	msg.Parent = h.Get("traceparent")
 	msg.Again = len(h.Get("X-Second-Try")) > 0
 	return msg, ""
 }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -39,7 +39,8 @@
 	Attempts  int
 	DoubtAt   int64 // when the first attempt that may have run was sent; 0 = none
 	DoubtZone int
-	Ending    int // its notice is owed, and says so
+	Parent    string // the trace context that its client sent, as text; empty: none
+	Ending    int    // its notice is owed, and says so
 	RetryMS   int64
 
 	openAt   int64 // when the attempt without an outcome was sent; 0 = none
@@ -54,6 +55,7 @@
 	recOutcome = 'O' // an attempt ended
 	recEnding  = 'N' // the notice that is owed from here on
 	recEnd     = 'E' // the message is over
+	recParent  = 'P' // the trace context of a message; a version that does not know it passes it over
 )
 
 const (
@@ -167,9 +169,23 @@
 func (j *Journal) Take(e *Entry) {
 	j.live[e.Num] = e
 	j.append(e.taken)
+	if e.Parent != "" {
+		j.append(e.parent)
+	}
 	j.used += e.size
 }
 
+// parent appends the trace context as a record.
+func (e *Entry) parent(b []byte) []byte {
+	at := len(b)
+	b = append(binary.AppendUvarint(append(b, recParent), e.Num), e.Parent...)
+	e.size += int64(len(b)-at) + headSize
+	return b
+}
+
+// Size is the bytes of the file, with what the next Flush writes.
+func (j *Journal) Size() int64 { return j.size + int64(len(j.buf)) }
+
 // Start notes that an attempt begins; it is written before the attempt's first byte.
 func (j *Journal) Start(e *Entry, at int64, zone int) {
 	e.start(at, zone)
@@ -268,6 +284,9 @@
 	j.used = 0
 	for _, e := range j.entries() {
 		b = frame(b, e.taken)
+		if e.Parent != "" {
+			b = frame(b, e.parent)
+		}
 		j.used += e.size
 		if e.openAt != 0 {
 			b = frame(b, func(b []byte) []byte {
@@ -360,6 +379,8 @@
 		e.Ending, e.RetryMS = int(d.varint()), d.varint()
 	case recEnd:
 		delete(j.live, num)
+	case recParent:
+		e.Parent = string(d.b)
 	}
 	return d.err
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -20,9 +20,28 @@
 	Ready     Ready
 	Knowledge Knowledge
 	Storms    Storms
+	Telemetry Telemetry
 	Partners  []Partner
 }
 
+// Telemetry sets how traces and metrics go to a collector. Empty texts: as the environment says.
+type Telemetry struct {
+	Enabled       bool
+	Endpoint      string
+	Protocol      string
+	Compression   string
+	Timeout       time.Duration
+	Every         time.Duration
+	Share         float64
+	Queue         int64 // bytes
+	CA, Cert, Key string
+	Headers       []Pair
+	Resource      []Pair
+}
+
+// Pair is a name with its value.
+type Pair struct{ Name, Value string }
+
 // Storms sets how retry storms are damped.
 type Storms struct {
 	Enabled bool
@@ -102,6 +121,11 @@
 	if err := f.check(path); err != nil {
 		return nil, err
 	}
+	for _, name := range []*string{&f.Telemetry.CA, &f.Telemetry.Cert, &f.Telemetry.Key} {
+		if *name != "" && !filepath.IsAbs(*name) {
+			*name = filepath.Join(filepath.Dir(path), *name)
+		}
+	}
 	for i := range f.Partners {
 		p := &f.Partners[i]
 		for _, name := range []*string{&p.CA, &p.Cert, &p.Key} {
@@ -133,6 +157,9 @@
 
 // check finds what a schema cannot: values that do not go together.
 func (f *File) check(name string) error {
+	if (f.Telemetry.Cert == "") != (f.Telemetry.Key == "") {
+		return &Error{File: name, What: "telemetry: cert and key go together"}
+	}
 	for _, p := range f.Partners {
 		bad := ""
 		switch withTLS := p.Protocol == TLS || p.Protocol == H2; {
--- a/internal/operator/spec.go
+++ b/internal/operator/spec.go
@@ -80,6 +80,63 @@
 					Put: func(f *File, v int64) { f.Storms.Limits[len(f.Storms.Limits)-1].Rate = float64(v) },
 				}},
 			}},
+		}, {
+			Name: "telemetry", Doc: "Traces and metrics to a collector, by OpenTelemetry's OTLP.",
+			Attrs: []attribute{{
+				Name: "enabled", Fallback: "false", Values: strictxml.OneOf("false", "true"), Doc: "Switches the part on.",
+				Put: func(f *File, v int64) { f.Telemetry.Enabled = v == 1 },
+			}, {
+				Name: "endpoint", Values: strictxml.Text(`https?://[!-~]{1,1000}`, "http://host:port or https://host:port"), Doc: "Where the collector is; else OTEL_EXPORTER_OTLP_ENDPOINT, else http://127.0.0.1:4318 (gRPC: 4317).",
+				Text: func(f *File, v string) { f.Telemetry.Endpoint = v },
+			}, {
+				Name: "protocol", Values: strictxml.OneOf("http/protobuf", "grpc"), Doc: "How it is spoken to; else OTEL_EXPORTER_OTLP_PROTOCOL, else http/protobuf.",
+				Text: func(f *File, v string) { f.Telemetry.Protocol = v },
+			}, {
+				Name: "compression", Values: strictxml.OneOf("none", "gzip"), Doc: "Of requests; else OTEL_EXPORTER_OTLP_COMPRESSION, else gzip.",
+				Text: func(f *File, v string) { f.Telemetry.Compression = v },
+			}, {
+				Name: "timeout", Fallback: "5s", Values: strictxml.Between(100*time.Millisecond, time.Minute), Doc: "Of one request.",
+				Put: func(f *File, v int64) { f.Telemetry.Timeout = time.Duration(v) },
+			}, {
+				Name: "every", Fallback: "10s", Values: strictxml.Between(time.Second, time.Hour), Doc: "Between two exports of the metrics.",
+				Put: func(f *File, v int64) { f.Telemetry.Every = time.Duration(v) },
+			}, {
+				Name: "share", Fallback: "1", Values: strictxml.Whole(0, 100), Doc: "Of ordinary traces, in percent. Failures, late ones, resends and what clients sample are always kept.",
+				Put: func(f *File, v int64) { f.Telemetry.Share = float64(v) / 100 },
+			}, {
+				Name: "queue", Fallback: "512KiB", Values: strictxml.Sized(16<<10, 1<<30), Doc: "What waits for the collector may take in memory; what waits to be encoded may take as much.",
+				Put: func(f *File, v int64) { f.Telemetry.Queue = v },
+			}, {
+				Name: "ca", Values: strictxml.Text("[!-~]{1,1000}", "a path without blanks"), Doc: "CA certificates in PEM, of https; else OTEL_EXPORTER_OTLP_CERTIFICATE, else the system's.",
+				Text: func(f *File, v string) { f.Telemetry.CA = v },
+			}, {
+				Name: "cert", Values: strictxml.Text("[!-~]{1,1000}", "a path without blanks"), Doc: "The sender's own certificate, with key.",
+				Text: func(f *File, v string) { f.Telemetry.Cert = v },
+			}, {
+				Name: "key", Values: strictxml.Text("[!-~]{1,1000}", "a path without blanks"), Doc: "Its key, which nobody else may read.",
+				Text: func(f *File, v string) { f.Telemetry.Key = v },
+			}},
+			Children: []element{{
+				Name: "header", Doc: "Sent with each request, beside those of OTEL_EXPORTER_OTLP_HEADERS.", Repeated: true, Unique: "name",
+				Add: func(f *File) { f.Telemetry.Headers = append(f.Telemetry.Headers, Pair{}) },
+				Attrs: []attribute{{
+					Name: "name", Required: true, Values: strictxml.Text("[a-z0-9_.-]{1,100}", "small letters, digits, dots and dashes"), Doc: "Its name.",
+					Text: func(f *File, v string) { f.Telemetry.Headers[len(f.Telemetry.Headers)-1].Name = v },
+				}, {
+					Name: "value", Required: true, Values: strictxml.Text("[ -~]{0,1000}", "printable ASCII"), Doc: "Its value.",
+					Text: func(f *File, v string) { f.Telemetry.Headers[len(f.Telemetry.Headers)-1].Value = v },
+				}},
+			}, {
+				Name: "resource", Doc: "An attribute of the resource, beside those of OTEL_RESOURCE_ATTRIBUTES.", Repeated: true, Unique: "name",
+				Add: func(f *File) { f.Telemetry.Resource = append(f.Telemetry.Resource, Pair{}) },
+				Attrs: []attribute{{
+					Name: "name", Required: true, Values: strictxml.Text("[a-zA-Z0-9_.-]{1,100}", "letters, digits, dots and dashes"), Doc: "Its name.",
+					Text: func(f *File, v string) { f.Telemetry.Resource[len(f.Telemetry.Resource)-1].Name = v },
+				}, {
+					Name: "value", Required: true, Values: strictxml.Text("[ -~]{0,200}", "printable ASCII"), Doc: "Its value.",
+					Text: func(f *File, v string) { f.Telemetry.Resource[len(f.Telemetry.Resource)-1].Value = v },
+				}},
+			}},
 		}, {
 			Name: "partners", Doc: "Partners that are not reached by plain HTTP/1.1.",
 			Children: []element{partnerSpec()},
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -16,6 +16,7 @@
 	"sliptide/internal/journal"
 	"sliptide/internal/outbound"
 	"sliptide/internal/storm"
+	"sliptide/internal/telemetry"
 	"sliptide/policy"
 )
 
@@ -44,6 +45,7 @@
 	Again      bool
 	Left       time.Duration // how long it may still be delivered
 	Body       []byte
+	Parent     []byte // the trace context that the client sent, as it stands in its header; nil: none
 }
 
 // Verdict is the answer to a message that was handed in.
@@ -113,7 +115,8 @@
 	// module takes a connection to carry where that is HTTP/2.
 	Partner func(dest int) *outbound.Partner
 	Streams int
-	Storms  *storm.Guard // nil: storms are not damped
+	Storms  *storm.Guard        // nil: storms are not damped
+	Watch   *telemetry.Recorder // nil: nobody watches
 	Log     zerolog.Logger
 }
 
@@ -132,6 +135,7 @@
 	now    float64
 	memory memory
 	guard  guard
+	watch  watcher
 
 	msgs    map[uint64]*message // taken on and not over, and not waiting for a notice
 	traces  map[string]uint64
@@ -173,7 +177,7 @@
 		set: o.Settings, mod: policy.New(o.Settings, o.Seed), log: o.Log,
 		journal: o.Journal, notices: o.Notices,
 		in: make(chan input, queued), done: make(chan struct{}),
-		clock: o.Clock, guard: guard{o.Storms},
+		clock: o.Clock, guard: guard{o.Storms}, watch: watcher{Recorder: o.Watch},
 		partner: o.Partner, streams: o.Streams,
 		msgs:   map[uint64]*message{},
 		traces: map[string]uint64{},
@@ -232,6 +236,7 @@
 	s.msgs[e.Num] = &message{Entry: e}
 	s.traces[e.Trace] = e.Num
 	s.guard.held(s.now, e.Dest, 1)
+	s.watchTaken(e, class, true)
 	ev := policy.Event{
 		Kind: policy.EvMessage, ID: e.Num, Class: class, Key: e.Item, Left: left, Again: e.Again,
 		Dest: e.Dest, Restored: true, Attempts: e.Attempts, Doubtful: e.DoubtAt != 0, Zone: e.DoubtZone,
@@ -343,6 +348,7 @@
 		if m := s.msgs[in.gone]; m != nil {
 			s.events = append(s.events, policy.Event{Kind: policy.EvWithdrawn, ID: m.Num})
 			s.drop(m.call)
+			s.watchOver(m.Entry, telemetry.Withdrawn, 0)
 			s.journal.End(m.Entry)
 			s.forget(m)
 		}
@@ -364,10 +370,12 @@
 		o.verdict <- Verdict{Known: true}
 		return
 	case !s.dests[m.Dest]: // nothing could be done with it but hold it until its time is up
+		s.watchRefused(m.Dest, telemetry.CauseRoute)
 		o.verdict <- Verdict{NoRoute: true, RetryAfter: s.busyRetry()}
 		return
 	case !s.stopAt.IsZero(), left <= 0, s.set.MaxHeld > 0 && len(s.msgs) >= s.set.MaxHeld, !s.journal.Room(len(m.Body)):
 		s.guard.arrived(s.now, m)
+		s.watchRefused(m.Dest, s.whyNot())
 		o.verdict <- Verdict{RetryAfter: s.comeBack(m.Dest, m.Key, max(left, 0), s.busyRetry())}
 		return
 	}
@@ -380,9 +388,13 @@
 	if m.Tenant < len(s.set.Tenants) {
 		e.Tenant = s.set.Tenants[m.Tenant].Name
 	}
+	if s.watch.On() {
+		e.Parent = parent(m.Parent).Text()
+	}
 	s.journal.Take(e)
 	s.msgs[e.Num] = &message{Entry: e}
 	s.traces[e.Trace] = e.Num
+	s.watchTaken(e, m.Class, false)
 	s.orders = append(s.orders, &taking{order: o, entry: e})
 	s.events = append(s.events, policy.Event{
 		Kind: policy.EvMessage, ID: e.Num, Class: m.Class, Tenant: m.Tenant, Key: m.Item, Left: left,
@@ -412,7 +424,13 @@
 			continue
 		}
 		m.call = nil
+		s.watchEnded(c, e)
 		if e.Outcome == policy.OK || e.Closed {
+			end := telemetry.Delivered
+			if e.Outcome != policy.OK {
+				end = telemetry.Closed
+			}
+			s.watchOver(m.Entry, end, 0)
 			s.over(m)
 			continue
 		}
@@ -521,6 +539,7 @@
 	}
 	s.answer(err == nil)
 	s.dispatch(err == nil)
+	s.watchStep()
 	s.tell(false)
 	s.arm()
 }
@@ -558,6 +577,7 @@
 	if a.After >= s.untilDeadline(m) { // else the whole call ends then, and with its connection
 		m.cutAt = s.now + a.After
 	}
+	s.watchBegan(m, c, item.Attempt)
 	c.Items = append(c.Items, item)
 	c.Timeout = max(c.Timeout, millis(a.After))
 }
@@ -607,6 +627,7 @@
 				Kind: policy.EvOutcome, ID: m.Num, Attempt: c.Items[i].Attempt, Endpoint: c.Endpoint,
 				Outcome: policy.Timeout, Latency: float64(time.Since(c.SentAt)) / 1e6,
 			})
+			s.watchEnded(c, &s.events[len(s.events)-1])
 		}
 	}
 }
@@ -625,6 +646,8 @@
 	for _, t := range s.orders {
 		if t.entry == m.Entry {
 			t.refused, t.after = true, after
+			s.watchOver(m.Entry, telemetry.NotTaken, 0)
+			s.watchRefused(m.Dest, telemetry.CauseLoad)
 			s.journal.End(m.Entry)
 			s.forget(m)
 			return
@@ -637,6 +660,7 @@
 	if a.Kind == policy.ActRefuse {
 		ending = journal.HandedBack
 	}
+	s.watchOver(m.Entry, [...]telemetry.End{journal.GivenUp: telemetry.GivenUp, journal.HandedBack: telemetry.HandedBack}[ending], after)
 	s.owe(m.Entry, ending, after)
 }
 
@@ -647,6 +671,8 @@
 		case t.refused:
 			t.verdict <- Verdict{RetryAfter: t.after}
 		case !kept: // it is in no journal: the module must not hold it
+			s.watchOver(t.entry, telemetry.NotTaken, 0)
+			s.watchRefused(t.entry.Dest, telemetry.CauseRoom)
 			s.events = append(s.events, policy.Event{Kind: policy.EvWithdrawn, ID: t.entry.Num})
 			s.again = true
 			if m := s.msgs[t.entry.Num]; m != nil {
@@ -700,6 +726,7 @@
 	if s.guard.Guard != nil {
 		wait = min(wait, millis(min(s.guard.Next()-s.clock.Now(), 1e6)))
 	}
+	wait = s.watchWait(wait)
 	if at, due := s.tellAt(); due {
 		wait = min(wait, millis(at-s.clock.Now()))
 	}
--- /dev/null
+++ b/internal/sender/watch.go
@@ -0,0 +1,136 @@
+package sender
+
+import (
+	"time"
+
+	"sliptide/internal/journal"
+	"sliptide/internal/outbound"
+	"sliptide/internal/storm"
+	"sliptide/internal/telemetry"
+	"sliptide/policy"
+)
+
+const (
+	holdsEvery  = 10.0   // milliseconds between two looks at why messages wait
+	gaugesEvery = 1000.0 // and between two sets of gauges
+)
+
+// watcher tells telemetry what the sender does. All of it is a push into a bounded queue; with a nil Recorder it
+// is nothing.
+type watcher struct {
+	*telemetry.Recorder
+	holds    map[int]policy.Hold // as told
+	holdsAt  float64
+	gaugesAt float64
+}
+
+func parent(v []byte) *telemetry.Parent {
+	if len(v) == 0 {
+		return nil
+	}
+	return telemetry.ParseParent(v)
+}
+
+// watchTaken tells of a message that is held from here on.
+func (s *Sender) watchTaken(e *journal.Entry, class int, restored bool) {
+	if !s.watch.On() {
+		return
+	}
+	s.watch.Push(telemetry.Record{Kind: telemetry.Taken, Num: e.Num, Dest: int32(e.Dest), Class: uint8(class), Again: e.Again, Restored: restored,
+		Attempt: int16(e.Attempts), At: s.now, Until: float64(e.Deadline), Text: e.Trace, Parent: parent([]byte(e.Parent))})
+}
+
+func (s *Sender) watchRefused(dest int, why telemetry.Cause) {
+	if s.watch.On() {
+		s.watch.Push(telemetry.Record{Kind: telemetry.Refused, Dest: int32(dest), Cause: why, At: s.now})
+	}
+}
+
+// watchBegan tells of an attempt.
+func (s *Sender) watchBegan(m *message, c *outbound.Call, attempt int) {
+	if s.watch.On() {
+		s.watch.Push(telemetry.Record{Kind: telemetry.Began, Num: m.Num, Dest: int32(m.Dest), Endpoint: c.Endpoint, Attempt: int16(attempt), At: s.now})
+	}
+}
+
+// watchEnded tells how an attempt ended.
+func (s *Sender) watchEnded(c *outbound.Call, e *policy.Event) {
+	if !s.watch.On() || e.Kind != policy.EvOutcome {
+		return
+	}
+	s.watch.Push(telemetry.Record{Kind: telemetry.Ended, Num: e.ID, Dest: int32(c.Dest), Endpoint: c.Endpoint, Attempt: int16(e.Attempt), Outcome: uint8(e.Outcome),
+		MayHaveRun: e.Outcome != policy.OK && !e.Outcome.NeverRan(), Wait: e.Wait, At: s.now, Until: s.now - max(e.Latency, 0), Text: c.Addr})
+}
+
+func (s *Sender) watchOver(e *journal.Entry, end telemetry.End, after float64) {
+	if s.watch.On() {
+		s.watch.Push(telemetry.Record{Kind: telemetry.Over, Num: e.Num, Dest: int32(e.Dest), End: end, Wait: after, At: s.now})
+	}
+}
+
+func (s *Sender) watchStorm(o *storm.Order) {
+	if s.watch.On() {
+		s.watch.Push(telemetry.Record{Kind: telemetry.Phase, Dest: int32(o.Dest), Value: float64(o.Phase), At: s.now})
+	}
+}
+
+var causes = [...]telemetry.Cause{
+	policy.HoldNone: telemetry.CauseNone, policy.HoldTold: telemetry.CauseTold, policy.HoldBreaker: telemetry.CauseBreaker,
+	policy.HoldCap: telemetry.CauseStorm, policy.HoldPace: telemetry.CausePace, policy.HoldSlot: telemetry.CauseSlot, policy.HoldRetry: telemetry.CauseRetry,
+}
+
+// watchStep tells, after a step, why messages wait where that has changed, and now and then the gauges.
+func (s *Sender) watchStep() {
+	w := &s.watch
+	if !w.On() || s.now < w.holdsAt {
+		return
+	}
+	w.holdsAt = s.now + holdsEvery
+	waiting := 0
+	fresh := make(map[int]policy.Hold, len(w.holds))
+	s.mod.EachWaiting(func(dest int, why policy.Hold) {
+		waiting++
+		fresh[dest] = why
+		if old, told := w.holds[dest]; !told || old != why {
+			w.Push(telemetry.Record{Kind: telemetry.Holds, Dest: int32(dest), Cause: causes[why], At: s.now})
+		}
+	})
+	for dest := range w.holds {
+		if _, still := fresh[dest]; !still {
+			w.Push(telemetry.Record{Kind: telemetry.Holds, Dest: int32(dest), At: s.now})
+		}
+	}
+	w.holds = fresh
+	if s.now < w.gaugesAt {
+		return
+	}
+	w.gaugesAt = s.now + gaugesEvery
+	gauge := func(name telemetry.Name, v float64) {
+		w.Push(telemetry.Record{Kind: telemetry.Gauge, Name: name, Value: v, At: s.now})
+	}
+	gauge(telemetry.Held, float64(len(s.msgs)))
+	gauge(telemetry.CallsOut, float64(len(s.calls)))
+	gauge(telemetry.Waiting, float64(waiting))
+	gauge(telemetry.JournalBytes, float64(s.journal.Size()))
+	if s.guard.Guard != nil {
+		st := s.guard.Stats()
+		gauge(telemetry.StormPromised, float64(st.Promised))
+		gauge(telemetry.StormOverbooked, float64(st.Overbooked))
+	}
+}
+
+// watchWait is when watchStep wants to be called again while messages are held: a reason changes with time alone.
+func (s *Sender) watchWait(wait time.Duration) time.Duration {
+	if s.watch.On() && len(s.msgs) > 0 {
+		return min(wait, 100*time.Millisecond)
+	}
+	return wait
+}
+
+// whyNot is why nothing more is taken on.
+func (s *Sender) whyNot() telemetry.Cause {
+	if !s.stopAt.IsZero() {
+		return telemetry.CauseStop
+	}
+	return telemetry.CauseRoom
+}
--- /dev/null
+++ b/internal/telemetry/metric/histogram.go
@@ -0,0 +1,80 @@
+// Package metric holds the counters, gauges and exponential histograms that a sender exports. They are summed up
+// by one goroutine and read by it; nothing here locks.
+package metric
+
+import "math"
+
+// Buckets is the most buckets that a histogram has; with more it halves its resolution.
+const Buckets = 160
+
+const (
+	scaleMost  = 20
+	scaleLeast = -10
+)
+
+// Histogram is an exponential histogram of positive values (OpenTelemetry metrics data model, "ExponentialHistogram"):
+// bucket i holds the values in (base^i, base^(i+1)], base = 2^(2^-scale).
+type Histogram struct {
+	Scale  int
+	Offset int // index of Counts[0]
+	Counts []uint64
+	Zero   uint64
+	Count  uint64
+	Sum    float64
+	Min    float64
+	Max    float64
+}
+
+// NewHistogram returns an empty histogram of the finest scale that is of use for times: buckets 4% wide.
+func NewHistogram() *Histogram { return &Histogram{Scale: 4} }
+
+// index is the bucket of v at a scale.
+func index(v float64, scale int) int {
+	return int(math.Ceil(math.Log2(v)*math.Exp2(float64(scale)))) - 1
+}
+
+// Add counts a value. What is not a number or not finite is passed over; what is not positive counts as zero.
+func (h *Histogram) Add(v float64) {
+	if math.IsNaN(v) || math.IsInf(v, 0) {
+		return
+	}
+	if h.Count == 0 {
+		h.Min, h.Max = v, v
+	}
+	h.Count++
+	h.Sum += v
+	h.Min, h.Max = min(h.Min, v), max(h.Max, v)
+	if v <= math.SmallestNonzeroFloat64 {
+		h.Zero++
+		return
+	}
+	i := index(v, h.Scale)
+	if len(h.Counts) == 0 {
+		h.Offset, h.Counts = i, []uint64{1}
+		return
+	}
+	for max(i, h.Offset+len(h.Counts)-1)-min(i, h.Offset) >= Buckets && h.Scale > scaleLeast {
+		h.halve()
+		i = index(v, h.Scale)
+	}
+	for i < h.Offset {
+		h.Counts = append([]uint64{0}, h.Counts...)
+		h.Offset--
+	}
+	for i >= h.Offset+len(h.Counts) {
+		h.Counts = append(h.Counts, 0)
+	}
+	h.Counts[i-h.Offset]++
+}
+
+// halve joins each two buckets to one of the next lower scale.
+func (h *Histogram) halve() {
+	first := h.Offset >> 1
+	last := (h.Offset + len(h.Counts) - 1) >> 1
+	joined := make([]uint64, last-first+1)
+	for i, n := range h.Counts {
+		joined[(h.Offset+i)>>1-first] += n
+	}
+	h.Offset, h.Counts = first, joined
+	h.Scale--
+}
--- /dev/null
+++ b/internal/telemetry/metric/metric_test.go
@@ -0,0 +1,61 @@
+package metric
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// Every value lies in its bucket, whatever the scale has become; nothing is lost by halving.
+func TestHistogram(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for _, spread := range []float64{0.1, 1, 5, 30} {
+		h := NewHistogram()
+		var values []float64
+		for range 2000 {
+			v := math.Exp(rng.NormFloat64() * spread)
+			values = append(values, v)
+			h.Add(v)
+		}
+		base := math.Exp2(math.Exp2(-float64(h.Scale)))
+		var total uint64
+		for i, n := range h.Counts {
+			lo, hi := math.Pow(base, float64(h.Offset+i)), math.Pow(base, float64(h.Offset+i+1))
+			var want uint64
+			for _, v := range values {
+				if v > lo*(1-1e-12) && v <= hi*(1+1e-12) {
+					want++
+				}
+			}
+			if n != want {
+				t.Fatalf("spread %v: bucket (%v, %v] holds %d, want %d", spread, lo, hi, n, want)
+			}
+			total += n
+		}
+		if total != 2000 || h.Count != 2000 || len(h.Counts) > Buckets {
+			t.Errorf("spread %v: %d of %d values in %d buckets", spread, total, h.Count, len(h.Counts))
+		}
+	}
+	h := NewHistogram()
+	for _, v := range []float64{0, -1, math.NaN(), math.Inf(1), 5e-324, 1.7e308} {
+		h.Add(v)
+	}
+	if h.Count != 4 || h.Zero != 3 || len(h.Counts) != 1 || h.Min != -1 {
+		t.Errorf("%+v", h)
+	}
+}
+
+// However many series there might be, a Set holds a bounded number and counts the rest.
+func TestSetIsBounded(t *testing.T) {
+	s, d := NewSet(), &Def{Name: "n"}
+	for i := range 3 * most {
+		s.Add(d, 1, Attr{"k", string(rune(i + 1000))})
+	}
+	if len(s.Points()) != most || s.Overflow != 2*most {
+		t.Errorf("%d series, %d too many", len(s.Points()), s.Overflow)
+	}
+	s.Add(d, 1, Attr{"k", string(rune(1000))})
+	if s.Points()[0].Value != 2 {
+		t.Error("a series that is known no longer counts")
+	}
+}
--- /dev/null
+++ b/policy/holding.go
@@ -0,0 +1,52 @@
+package policy
+
+// This file tells why messages wait, for those who watch a sender. It reads and decides nothing: no bucket is
+// filled and no mark is set by it.
+
+// Hold is why what a destination holds has not been sent.
+type Hold uint8
+
+// The reasons, the one that is nearest to a call last.
+const (
+	HoldNone    Hold = iota // no endpoint is ready
+	HoldTold                // a wait that the partner told
+	HoldBreaker             // an outage, the ramp after it, or the pause after a failure
+	HoldCap                 // the pace from outside
+	HoldPace                // its own pace
+	HoldSlot                // all call slots are taken
+	HoldRetry               // the messages' own pauses, or the order of their keys
+)
+
+// EachWaiting calls f for each destination that holds messages, with the reason at the endpoint that is nearest
+// to a call.
+func (s *Sender) EachWaiting(f func(dest int, why Hold)) {
+	for _, d := range s.waiting {
+		if len(d.queue) == 0 {
+			continue
+		}
+		why := HoldNone
+		for _, ep := range d.eps {
+			if ep.ready {
+				why = max(why, s.holdAt(ep))
+			}
+		}
+		f(d.id, why)
+	}
+}
+
+func (s *Sender) holdAt(ep *endpoint) Hold {
+	r := ep.route
+	switch {
+	case r.waitUntil > s.now:
+		return HoldTold
+	case ep.state != closed || ep.fails > 0 && ep.nextTrial > s.now:
+		return HoldBreaker
+	case r.cap > 0 && r.capTokens.v+r.cap/1000*(s.now-r.capTokens.at) < 1:
+		return HoldCap
+	case r.limit > 0 && r.tokens.v+r.limit/1000*(s.now-r.tokens.at) < 1:
+		return HoldPace
+	case s.busy >= s.set.CallSlots || ep.dest.out >= max(s.set.CallSlots-1, 1):
+		return HoldSlot
+	}
+	return HoldRetry
+}
