--- a/cmd/sliptide/measure_test.go
+++ b/cmd/sliptide/measure_test.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"sliptide/internal/lab/collector"
 )
 
 // Long measurements, behind `make measure`: they print tables for docs/knowledge.md and judge nothing.
@@ -196,85 +198,132 @@
 	}
 }
 
+// cost is what a run of load has come to: milliseconds, percent of a core, MB.
+type cost struct{ intake50, intake99, delivery50, delivery99, cpu, rss float64 }
+
+// runCost loads a sender with an operators' file at a rate over 20 partners that take so long for a call.
+// A rig's test is parallel: res is filled when the test t, which must be a group of its own, has ended.
+func runCost(t *testing.T, op string, rate float64, service, length time.Duration, seed uint64, res *cost) {
+	t.Run("run", func(t *testing.T) {
+		r := newRigWith(t, op, func(set, limits map[string]any) { set["limits"].(map[string]any)["most_held"] = 400 })
+		var mu sync.Mutex
+		handed := map[string]time.Time{}
+		var intake, delivery []float64
+		r.change(func() {
+			for i := range 20 {
+				r.list = append(r.list, r.partner(fmt.Sprint("p-", i), i, func(w http.ResponseWriter, q *http.Request) {
+					at := time.Now()
+					mu.Lock()
+					delivery = append(delivery, float64(at.Sub(handed[q.Header.Get("X-Trace-Id")]))/1e6)
+					mu.Unlock()
+					time.Sleep(service)
+					w.Header().Set("Endpoint-Load-Metrics", "TEXT x0=0.5, x1=100")
+				}))
+			}
+			r.list = slices.DeleteFunc(r.list, func(e endpoint) bool { return e.State == "draining" })
+		})
+		stop := make(chan struct{})
+		defer close(stop)
+		go r.quiet(stop)
+		var wg sync.WaitGroup
+		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+		rng := rand.New(rand.NewPCG(seed, 3))
+		time.Sleep(time.Second)
+		from := cpuOf(r.proc.Process.Pid)
+		next := time.Now()
+		for i, end := 0, time.Now().Add(length); time.Now().Before(end); i++ {
+			next = next.Add(time.Duration(rng.ExpFloat64() / rate * 1e9)) // open loop: a late one is made up for
+			time.Sleep(time.Until(next))
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				id := fmt.Sprint("c", i)
+				begin := time.Now()
+				mu.Lock()
+				handed[id] = begin
+				mu.Unlock()
+				q, _ := http.NewRequest("POST", "http://"+r.addr+"/api", strings.NewReader("body"))
+				for k, v := range map[string]string{"X-Trace-Id": id, "X-Qos": "note", "X-Customer": "acme", "Idempotency-Key": id, "X-Expires-In": "20.000", "X-Route-To": fmt.Sprintf("dest=%d", i%20)} {
+					q.Header.Set(k, v)
+				}
+				resp, err := client.Do(q)
+				if err != nil {
+					return
+				}
+				io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+				mu.Lock()
+				intake = append(intake, float64(time.Since(begin))/1e6)
+				mu.Unlock()
+			}()
+		}
+		wg.Wait()
+		res.cpu = (cpuOf(r.proc.Process.Pid) - from) / length.Seconds() * 100
+		res.rss = rssOf(r.proc.Process.Pid)
+		mu.Lock()
+		defer mu.Unlock()
+		res.intake50, res.intake99 = quantile(intake, .5), quantile(intake, .99)
+		res.delivery50, res.delivery99 = quantile(delivery, .5), quantile(delivery, .99)
+	})
+}
+
 // What knowledge costs at 120 messages a second: off and on in turn, three times each.
 func TestMeasureCost(t *testing.T) {
 	measuring(t)
-	type result struct{ intake50, intake99, delivery50, delivery99, cpu, rss float64 }
 	for round := range 3 {
 		for _, name := range []string{"off", "on"} {
 			op := ""
 			if name == "on" {
 				op = strings.Replace(knowing, "100ms", "3s", 1)
 			}
-			res := result{}
-			// A rig's test is parallel: the group returns when it has ended, so that runs are one at a time.
-			t.Run(fmt.Sprint(name, round), func(t *testing.T) {
-				t.Run("run", func(t *testing.T) {
-					r := newRigWith(t, op, func(set, limits map[string]any) { set["limits"].(map[string]any)["most_held"] = 400 })
-					var mu sync.Mutex
-					handed := map[string]time.Time{}
-					var intake, delivery []float64
-					r.change(func() {
-						for i := range 20 {
-							r.list = append(r.list, r.partner(fmt.Sprint("p-", i), i, func(w http.ResponseWriter, q *http.Request) {
-								at := time.Now()
-								mu.Lock()
-								delivery = append(delivery, float64(at.Sub(handed[q.Header.Get("X-Trace-Id")]))/1e6)
-								mu.Unlock()
-								time.Sleep(20 * time.Millisecond)
-								w.Header().Set("Endpoint-Load-Metrics", "TEXT x0=0.5, x1=25")
-							}))
-						}
-						r.list = slices.DeleteFunc(r.list, func(e endpoint) bool { return e.State == "draining" })
-					})
-					stop := make(chan struct{})
-					defer close(stop)
-					go r.quiet(stop)
-					var wg sync.WaitGroup
-					client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
-					rng := rand.New(rand.NewPCG(uint64(round), 3))
-					time.Sleep(time.Second)
-					from := cpuOf(r.proc.Process.Pid)
-					for i, end := 0, time.Now().Add(10*time.Second); time.Now().Before(end); i++ {
-						time.Sleep(time.Duration(rng.ExpFloat64() / 120 * 1e9))
-						wg.Add(1)
-						go func() {
-							defer wg.Done()
-							id := fmt.Sprint("c", i)
-							begin := time.Now()
-							mu.Lock()
-							handed[id] = begin
-							mu.Unlock()
-							q, _ := http.NewRequest("POST", "http://"+r.addr+"/api", strings.NewReader("body"))
-							for k, v := range map[string]string{"X-Trace-Id": id, "X-Qos": "note", "X-Customer": "acme", "Idempotency-Key": id, "X-Expires-In": "20.000", "X-Route-To": fmt.Sprintf("dest=%d", i%20)} {
-								q.Header.Set(k, v)
-							}
-							resp, err := client.Do(q)
-							if err != nil {
-								return
-							}
-							io.Copy(io.Discard, resp.Body)
-							resp.Body.Close()
-							mu.Lock()
-							intake = append(intake, float64(time.Since(begin))/1e6)
-							mu.Unlock()
-						}()
-					}
-					wg.Wait()
-					res.cpu = (cpuOf(r.proc.Process.Pid) - from) / 10 * 100
-					res.rss = rssOf(r.proc.Process.Pid)
-					mu.Lock()
-					defer mu.Unlock()
-					res.intake50, res.intake99 = quantile(intake, .5), quantile(intake, .99)
-					res.delivery50, res.delivery99 = quantile(delivery, .5), quantile(delivery, .99)
-				})
-			})
+			var res cost
+			t.Run(fmt.Sprint(name, round), func(t *testing.T) { runCost(t, op, 120, 20*time.Millisecond, 10*time.Second, uint64(round), &res) })
 			t.Logf("knowledge %-3s: intake p50 %.2f p99 %.2f ms, delivery p50 %.2f p99 %.2f ms, CPU %.1f%%, resident %.1f MB",
 				name, res.intake50, res.intake99, res.delivery50, res.delivery99, res.cpu, res.rss)
 		}
 	}
 }
 
+// What a collector costs at 80% of full load, which is what 20 slots allow where a call takes 50 ms: telemetry
+// off, and on with all traces kept and a collector that is healthy, absent or a black hole, in turns.
+func TestMeasureTelemetry(t *testing.T) {
+	measuring(t)
+	const rounds = 5
+	modes := []string{"off", "healthy", "absent", "black hole"}
+	all := map[string][]cost{}
+	for round := range rounds {
+		for k := range modes {
+			mode := modes[(k+round)%len(modes)]
+			c, op := collect(t, round%2 == 1)
+			switch mode {
+			case "off":
+				op = ""
+			case "absent":
+				c.Close()
+			case "black hole":
+				c.Set(collector.Mood{Hole: true})
+			}
+			var res cost
+			t.Run(fmt.Sprint(mode, round), func(t *testing.T) { runCost(t, op, 320, 50*time.Millisecond, 6*time.Second, uint64(round), &res) })
+			all[mode] = append(all[mode], res)
+		}
+	}
+	median := func(mode string, of func(cost) float64) float64 {
+		var list []float64
+		for _, c := range all[mode] {
+			list = append(list, of(c))
+		}
+		return quantile(list, 0.5)
+	}
+	for _, mode := range modes {
+		p50 := median(mode, func(c cost) float64 { return c.delivery50 })
+		p99 := median(mode, func(c cost) float64 { return c.delivery99 })
+		t.Logf("telemetry %-10s: delivery p50 %.2f (%.3f of off) p99 %.2f (%.3f) ms, intake p99 %.2f ms, CPU %.1f%%, resident %.1f MB; medians of %d", mode,
+			p50, p50/median("off", func(c cost) float64 { return c.delivery50 }), p99, p99/median("off", func(c cost) float64 { return c.delivery99 }),
+			median(mode, func(c cost) float64 { return c.intake99 }), median(mode, func(c cost) float64 { return c.cpu }), median(mode, func(c cost) float64 { return c.rss }), rounds)
+	}
+}
+
 func quantile(list []float64, q float64) float64 {
 	if len(list) == 0 {
 		return math.NaN()
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -125,3 +125,23 @@
 		}
 	})
 }
+
+// The trace context of a message outlasts the process and a compaction, and ends with the message.
+func TestParentOutlasts(t *testing.T) {
+	dir := t.TempDir()
+	j, _ := open(t, dir, 1<<20)
+	with, without := entry(j, "a"), entry(j, "b")
+	with.Parent = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"
+	j.Take(with)
+	j.Take(without)
+	for range 3 { // each opening compacts
+		if err := j.Close(); err != nil {
+			t.Fatal(err)
+		}
+		var list []*Entry
+		j, list = open(t, dir, 1<<20)
+		if len(list) != 2 || list[0].Parent != with.Parent || list[1].Parent != "" {
+			t.Fatalf("%+v", list)
+		}
+	}
+}
--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -38,11 +38,12 @@
 }
 
 type grammar struct {
-	Run     runCmd     `cmd:"" help:"Run an experiment and write its results."`
-	List    listCmd    `cmd:"" help:"List the experiments of a folder, and their results."`
-	Report  reportCmd  `cmd:"" help:"Draw results as an HTML page."`
-	Compare compareCmd `cmd:"" help:"Tell in what two results differ by more than chance."`
-	Schema  schemaCmd  `cmd:"" help:"Print the XML Schema of experiment files."`
+	Run       runCmd       `cmd:"" help:"Run an experiment and write its results."`
+	List      listCmd      `cmd:"" help:"List the experiments of a folder, and their results."`
+	Report    reportCmd    `cmd:"" help:"Draw results as an HTML page."`
+	Compare   compareCmd   `cmd:"" help:"Tell in what two results differ by more than chance."`
+	Collector collectorCmd `cmd:"" help:"Serve as an OTLP collector and show the traces that arrive."`
+	Schema    schemaCmd    `cmd:"" help:"Print the XML Schema of experiment files."`
 }
 
 type runCmd struct {
--- /dev/null
+++ b/internal/lab/cli/collector.go
@@ -0,0 +1,75 @@
+package cli
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+
+	trace "go.opentelemetry.io/proto/slim/otlp/trace/v1"
+
+	"sliptide/internal/lab/collector"
+)
+
+type collectorCmd struct {
+	HTTP string `default:"127.0.0.1:4318" help:"Where OTLP/HTTP is served; empty: nowhere." placeholder:"ADDRESS"`
+	GRPC string `default:"127.0.0.1:4317" help:"Where OTLP/gRPC is served; empty: nowhere." placeholder:"ADDRESS"`
+	Mood string `default:"healthy" enum:"healthy,hole,sip,slow,full,lying" help:"healthy, hole (never answers), sip (reads a byte a second), slow (a second), full (503), lying (garbage)."`
+}
+
+// Run runs the command until it is interrupted.
+func (c *collectorCmd) Run(env *Env) error {
+	var mu sync.Mutex
+	col := &collector.Collector{Got: func(list []*trace.ResourceSpans) {
+		mu.Lock()
+		defer mu.Unlock()
+		show(env, list)
+	}}
+	col.Set(moodOf(c.Mood))
+	defer col.Close()
+	for _, l := range []struct {
+		addr, what string
+		serve      func(net.Listener)
+	}{{c.HTTP, "OTLP/HTTP", col.ServeHTTP}, {c.GRPC, "OTLP/gRPC", func(ln net.Listener) { col.ServeGRPC(ln) }}} {
+		if l.addr == "" {
+			continue
+		}
+		ln, err := net.Listen("tcp", l.addr)
+		if err != nil {
+			return fmt.Errorf("%s: %w", l.what, err)
+		}
+		fmt.Fprintf(env.Out, "%s on %s, %s\n", l.what, ln.Addr(), c.Mood)
+		l.serve(ln)
+	}
+	<-env.Ctx.Done()
+	return nil
+}
+
+func moodOf(name string) collector.Mood {
+	return map[string]collector.Mood{"hole": {Hole: true}, "sip": {Sip: true}, "slow": {Slow: 1e9}, "full": {Status: 503, Retry: 5e9}, "lying": {Garbage: true}}[name]
+}
+
+// show writes the traces of one request, in the order in which they began.
+func show(env *Env, list []*trace.ResourceSpans) {
+	for _, rs := range list {
+		var who []string
+		for _, a := range rs.Resource.GetAttributes() {
+			who = append(who, a.Key+"="+a.Value.GetStringValue())
+		}
+		fmt.Fprintln(env.Out, "from", strings.Join(who, " "))
+		var spans []*trace.Span
+		for _, ss := range rs.ScopeSpans {
+			spans = append(spans, ss.Spans...)
+		}
+		for len(spans) > 0 {
+			id := string(spans[0].TraceId)
+			other := slices.IndexFunc(spans, func(s *trace.Span) bool { return string(s.TraceId) != id })
+			if other < 0 {
+				other = len(spans)
+			}
+			collector.WriteTree(env.Out, spans[:other])
+			spans = spans[other:]
+		}
+	}
+}
--- a/internal/standin/certs.go
+++ b/internal/standin/certs.go
@@ -10,6 +10,7 @@
 	"encoding/pem"
 	"math/big"
 	"os"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,7 +20,10 @@
 	key  *ecdsa.PrivateKey
 }
 
-var serial = big.NewInt(time.Now().UnixNano())
+// serial is the last certificate's number: no two of a process have the same.
+var serial atomic.Int64
+
+func init() { serial.Store(time.Now().UnixNano()) }
 
 // NewAuthority returns one with a certificate of its own.
 func NewAuthority(name string) *Authority {
@@ -31,8 +35,7 @@
 
 func issue(c *x509.Certificate, by *Authority) (*x509.Certificate, *ecdsa.PrivateKey) {
 	key := must(ecdsa.GenerateKey(elliptic.P256(), rand.Reader))
-	serial.Add(serial, big.NewInt(1))
-	c.SerialNumber = new(big.Int).Set(serial)
+	c.SerialNumber = big.NewInt(serial.Add(1))
 	c.NotBefore = time.Now().Add(-100 * time.Hour)
 	parent, signer := c, key
 	if by != nil {
--- a/internal/telemetry/otlp/otlp_test.go
+++ b/internal/telemetry/otlp/otlp_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"strings"
 	"testing"
 	"time"
 
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
 	"sliptide/internal/lab/collector"
 	"sliptide/internal/operator"
+	"sliptide/internal/standin"
 	"sliptide/internal/telemetry"
 	"sliptide/internal/telemetry/metric"
 	"sliptide/policy"
@@ -199,6 +204,73 @@
 	})
 }
 
+// A collector that restarts again and again: the loss is counted exactly, and what was counted as sent has arrived.
+func TestCollectorThatRestarts(t *testing.T) {
+	both(t, func(t *testing.T, overGRPC bool) {
+		c, p := start(t, overGRPC, collector.Mood{}, nil)
+		addr := strings.TrimPrefix(p.opt.Target.URL, "http://")
+		arrived := map[string]bool{}
+		gather := func() {
+			for _, s := range c.Spans() {
+				arrived[string(s.TraceId)] = true
+			}
+		}
+		for round := range 6 {
+			record(p, round*100, 100)
+			for end := time.Now().Add(time.Second); len(c.Spans()) == 0 && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			c.Close()
+			gather()
+			c = &collector.Collector{}
+			ln, err := net.Listen("tcp", addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if overGRPC {
+				c.ServeGRPC(ln)
+			} else {
+				c.ServeHTTP(ln)
+			}
+		}
+		n := end(t, p, patient)
+		gather()
+		c.Close()
+		if n.Recorded != 600 || uint64(len(arrived)) < n.Sent {
+			t.Errorf("%+v, %d arrived", n, len(arrived))
+		}
+	})
+}
+
+// A certificate with another name, or of nobody known: nothing is sent, all of it is counted, and it is told.
+func TestWrongCertificate(t *testing.T) {
+	both(t, func(t *testing.T, overGRPC bool) {
+		ca, until := standin.NewAuthority("test CA"), time.Now().Add(time.Hour)
+		for name, cert := range map[string]tls.Certificate{"other name": ca.Pair("other.example", until), "right": ca.Pair("collector.example", until)} {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			c := &collector.Collector{}
+			cfg := &tls.Config{Certificates: []tls.Certificate{cert}, NextProtos: []string{"h2"}}
+			if overGRPC {
+				c.ServeGRPC(ln, grpc.Creds(credentials.NewTLS(cfg)))
+			} else {
+				cfg.NextProtos = nil
+				c.ServeHTTP(tls.NewListener(ln, cfg))
+			}
+			t.Cleanup(c.Close)
+			_, p := start(t, overGRPC, collector.Mood{}, func(o *Options) {
+				o.Target.URL, o.Target.TLS = "https://"+ln.Addr().String(), &tls.Config{RootCAs: ca.Pool(), ServerName: "collector.example"}
+			})
+			record(p, 0, 10)
+			if n := end(t, p, patient); (n.Sent == 10) != (name == "right") {
+				t.Errorf("%s: %+v", name, n)
+			}
+		}
+	})
+}
+
 // The file goes before the environment, and what makes no sense is told.
 func TestConfigure(t *testing.T) {
 	env := map[string]string{"OTEL_EXPORTER_OTLP_ENDPOINT": "http://c:1", "OTEL_EXPORTER_OTLP_PROTOCOL": "grpc", "OTEL_EXPORTER_OTLP_HEADERS": "api-key=a%20b, x=1",
