--- a/cmd/sliptide/measure_test.go
+++ b/cmd/sliptide/measure_test.go
@@ -199,7 +199,11 @@
 }
 
 // cost is what a run of load has come to: milliseconds, percent of a core, MB.
-type cost struct{ intake50, intake99, delivery50, delivery99, cpu, rss float64 }
+type cost struct {
+	intake50, intake99, delivery50, delivery99, cpu, rss float64
+
+	rssAt []float64 // every ten seconds
+}
 
 // runCost loads a sender with an operators' file at a rate over 20 partners that take so long for a call.
 // A rig's test is parallel: res is filled when the test t, which must be a group of its own, has ended.
@@ -230,10 +234,14 @@
 		rng := rand.New(rand.NewPCG(seed, 3))
 		time.Sleep(time.Second)
 		from := cpuOf(r.proc.Process.Pid)
+		began := time.Now()
 		next := time.Now()
 		for i, end := 0, time.Now().Add(length); time.Now().Before(end); i++ {
 			next = next.Add(time.Duration(rng.ExpFloat64() / rate * 1e9)) // open loop: a late one is made up for
 			time.Sleep(time.Until(next))
+			if time.Since(began) > time.Duration(len(res.rssAt)+1)*10*time.Second {
+				res.rssAt = append(res.rssAt, math.Round(10*rssOf(r.proc.Process.Pid))/10)
+			}
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
@@ -324,6 +332,30 @@
 	}
 }
 
+// What a sender holds while its collector is a black hole, for three minutes at 80% of full load: telemetry off,
+// and over each protocol, side by side.
+func TestMeasureTelemetryMemory(t *testing.T) {
+	measuring(t)
+	modes := []string{"off", "HTTP", "gRPC"}
+	results := make([]cost, len(modes))
+	t.Run("side by side", func(t *testing.T) {
+		for i, mode := range modes {
+			t.Run(mode, func(t *testing.T) {
+				t.Parallel()
+				c, op := collect(t, mode == "gRPC")
+				c.Set(collector.Mood{Hole: true})
+				if mode == "off" {
+					op = ""
+				}
+				runCost(t, op, 320, 50*time.Millisecond, 3*time.Minute, 1, &results[i])
+			})
+		}
+	})
+	for i, mode := range modes {
+		t.Logf("black hole, %s: resident every 10 s %v MB", mode, results[i].rssAt)
+	}
+}
+
 func quantile(list []float64, q float64) float64 {
 	if len(list) == 0 {
 		return math.NaN()
--- a/cmd/sliptide/telemetry_test.go
+++ b/cmd/sliptide/telemetry_test.go
@@ -103,20 +103,23 @@
 func TestTracesTellOfAttempts(t *testing.T) {
 	c, file := collect(t, false)
 	r := newRigWith(t, file, nil, "one")
-	r.take("a", 0, 20, "x")
-	r.callFor("a").status(500)
-	r.callFor("a").status(429, "Retry-After", "0.2")
-	r.callFor("a").status(200)
 	for i := range 30 {
 		id := fmt.Sprint("b", i)
 		r.take(id, 0, 20, "x")
 		r.callFor(id).status(200)
 	}
+	r.take("a", 0, 20, "x")
+	r.callFor("a").status(500)
+	r.callFor("a").status(429, "Retry-After", "0.2")
+	r.callFor("a").status(200)
 	traces := awaitTraces(t, c, 31)
 	for _, spans := range traces {
 		if attrOf(spans[0], "messaging.message.id") != "a" {
 			continue
 		}
+		var tree strings.Builder
+		collector.WriteTree(&tree, spans)
+		t.Log(tree.String())
 		var outcomes, waits []string
 		for _, s := range spans[1:] {
 			if o := attrOf(s, "sliptide.outcome"); o != "" {
--- a/internal/sender/watch.go
+++ b/internal/sender/watch.go
@@ -22,6 +22,7 @@
 	holds    map[int]policy.Hold // as told
 	holdsAt  float64
 	gaugesAt float64
+	skipped  bool // a look was too soon after the last: one is due at holdsAt
 }
 
 func parent(v []byte) *telemetry.Parent {
@@ -82,7 +83,10 @@
 // watchStep tells, after a step, why messages wait where that has changed, and now and then the gauges.
 func (s *Sender) watchStep() {
 	w := &s.watch
-	if !w.On() || s.now < w.holdsAt {
+	if !w.On() {
+		return
+	}
+	if w.skipped = s.now < w.holdsAt; w.skipped {
 		return
 	}
 	w.holdsAt = s.now + holdsEvery
@@ -121,10 +125,13 @@
 
 // watchWait is when watchStep wants to be called again while messages are held: a reason changes with time alone.
 func (s *Sender) watchWait(wait time.Duration) time.Duration {
-	if s.watch.On() && len(s.msgs) > 0 {
-		return min(wait, 100*time.Millisecond)
+	switch {
+	case !s.watch.On() || len(s.msgs) == 0:
+		return wait
+	case s.watch.skipped:
+		return min(wait, millis(s.watch.holdsAt-s.clock.Now()))
 	}
-	return wait
+	return min(wait, 100*time.Millisecond)
 }
 
 // whyNot is why nothing more is taken on.
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -170,6 +170,22 @@
 	none.Push(Record{})
 }
 
+// What the sender's goroutine pays for a message.
+func BenchmarkPush(b *testing.B) {
+	q := NewRecorder(1 << 30)
+	b.ReportAllocs()
+	for i := range b.N {
+		q.Push(Record{Kind: Taken, Num: uint64(i), Text: "9b1f03aa5c7e2d41"})
+		q.Push(Record{Kind: Began, Num: uint64(i)})
+		q.Push(Record{Kind: Ended, Num: uint64(i), Text: "127.0.0.1:9000"})
+		q.Push(Record{Kind: Over, Num: uint64(i)})
+		if i%64 == 63 {
+			q.Drain(func(*Record) {})
+		}
+	}
+}
+
+// What a message costs in all.
 func BenchmarkMessage(b *testing.B) {
 	for _, row := range []struct {
 		name  string
