--- a/policy/policy.go
+++ b/policy/policy.go
@@ -571,7 +571,7 @@
 // rampAt is when ep may next be called if its destination has this share of its capacity.
 func (s *Sender) rampAt(ep *endpoint, share float64) float64 {
 	r := ep.route
-	own := max(ep.base, baseLeast*min(1, baseFew/float64(max(s.set.Senders, 1))), r.cap/float64(max(r.listed(), 1)))
+	own := max(ep.base, baseLeast*min(1, baseFew/s.senders()), r.cap/float64(max(r.listed(), 1)))
 	if s.few() { // its part of a told limit, which is under the capacity, is safe and may be much more
 		sure := ratedSure
 		if r.reported {
@@ -854,7 +854,7 @@
 }
 
 // even is a sender's part of a told limit.
-func (s *Sender) even(r *route) float64 { return r.told / float64(max(s.set.Senders, 1)) }
+func (s *Sender) even(r *route) float64 { return r.told / s.senders() }
 
 // few tells whether so few send that each one's own traffic shows what a destination does.
 func (s *Sender) few() bool { return s.set.Senders <= fewSenders }
@@ -897,7 +897,7 @@
 		ep.trials++
 	}
 	ep.state = open
-	n := float64(max(s.set.Senders, 1))
+	n := s.senders()
 	least := s.fewPause()
 	if ep.fails == 0 { // taken for shut by refusals alone: it may be a limit
 		least *= shutPause
--- a/policy/state.go
+++ b/policy/state.go
@@ -629,6 +629,9 @@
 	return rep[i]
 }
 
+// senders is how many share a limit.
+func (s *Sender) senders() float64 { return float64(max(s.set.Senders, 1)) }
+
 // between draws evenly from a range.
 func (s *Sender) between(lo, hi float64) float64 { return lo + (hi-lo)*s.rng.Float64() }
 
