OTLP: breakers, ramps, told limits and connections among the gauges; a test that asking changes nothing

Why messages wait is read from the module by EachWaiting and Overview: a test runs two senders side by side, one of which is asked after each step, and compares what they do.

--- a/cmd/sliptide/telemetry_test.go
+++ b/cmd/sliptide/telemetry_test.go
@@ -113,6 +113,15 @@
 	r.callFor("a").status(429, "Retry-After", "0.2")
 	r.callFor("a").status(200)
 	traces := awaitTraces(t, c, 31)
+	for end := time.Now().Add(patient); ; time.Sleep(time.Millisecond) {
+		m, _ := c.Metrics()
+		if text := fmt.Sprint(m); strings.Contains(text, "http.client.open_connections") && strings.Contains(text, "sliptide.wait.duration") && strings.Contains(text, "sliptide.breakers.open") {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("metrics: %v", m)
+		}
+	}
 	for _, spans := range traces {
 		if attrOf(spans[0], "messaging.message.id") != "a" {
 			continue
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -158,6 +158,13 @@
 	p.mu.Unlock()
 }
 
+// Open is how many connections there are or come up.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
 // complain tells why an endpoint could not be reached, where somebody listens.
 func (p *Pool) complain(endpoint uint32, addr string, err error) {
 	if p.opt.Trouble == nil {
--- a/internal/sender/watch.go
+++ b/internal/sender/watch.go
@@ -116,6 +116,11 @@
 	gauge(telemetry.CallsOut, float64(len(s.calls)))
 	gauge(telemetry.Waiting, float64(waiting))
 	gauge(telemetry.JournalBytes, float64(s.journal.Size()))
+	broken, warming, told := s.mod.Overview()
+	gauge(telemetry.BreakersOpen, float64(broken))
+	gauge(telemetry.Ramping, float64(warming))
+	gauge(telemetry.LimitTold, told)
+	gauge(telemetry.Connections, float64(s.pool.Open()))
 	if s.guard.Guard != nil {
 		st := s.guard.Stats()
 		gauge(telemetry.StormPromised, float64(st.Promised))
--- a/internal/telemetry/assemble.go
+++ b/internal/telemetry/assemble.go
@@ -315,7 +315,9 @@
 	Waiting
 	JournalBytes
 	BreakersOpen
+	Ramping
 	LimitTold
+	Connections
 	StormPromised
 	StormOverbooked
 	names
@@ -326,8 +328,10 @@
 	CallsOut:        {Name: "http.client.active_requests", Unit: "{request}", Doc: "calls out", Kind: metric.Gauge},
 	Waiting:         {Name: "sliptide.destinations.waiting", Unit: "{destination}", Doc: "destinations that hold messages", Kind: metric.Gauge},
 	JournalBytes:    {Name: "sliptide.journal.size", Unit: "By", Doc: "size of the journal", Kind: metric.Gauge},
-	BreakersOpen:    {Name: "sliptide.breakers.open", Unit: "{endpoint}", Doc: "endpoints of waiting destinations whose breaker is open", Kind: metric.Gauge},
-	LimitTold:       {Name: "sliptide.limits.told", Unit: "{call}/s", Doc: "limits that partners of waiting destinations tell, together", Kind: metric.Gauge},
+	BreakersOpen:    {Name: "sliptide.breakers.open", Unit: "{endpoint}", Doc: "endpoints whose breaker is open", Kind: metric.Gauge},
+	Ramping:         {Name: "sliptide.breakers.ramping", Unit: "{endpoint}", Doc: "endpoints that come back from an outage", Kind: metric.Gauge},
+	Connections:     {Name: "http.client.open_connections", Unit: "{connection}", Doc: "connections to endpoints, over HTTP/1.1 and HTTP/2", Kind: metric.Gauge},
+	LimitTold:       {Name: "sliptide.limits.told", Unit: "{call}/s", Doc: "limits that partners and the list tell, together", Kind: metric.Gauge},
 	StormPromised:   {Name: "sliptide.storm.promised", Unit: "{message}", Doc: "come-back times that are reservations"},
 	StormOverbooked: {Name: "sliptide.storm.overbooked", Unit: "{message}", Doc: "refusals for which no second was free"},
 }
--- a/policy/holding.go
+++ b/policy/holding.go
@@ -34,6 +34,27 @@
 	}
 }
 
+// Overview counts the endpoints whose breaker is open or whose ramp goes on, and adds up the limits that are told.
+func (s *Sender) Overview() (broken, warming int, told float64) {
+	for _, d := range s.dests {
+		if d.shared != nil {
+			told += d.shared.told
+		}
+		for _, ep := range d.eps {
+			switch ep.state {
+			case open:
+				broken++
+			case ramping:
+				warming++
+			}
+			if ep.route != d.shared {
+				told += ep.route.told
+			}
+		}
+	}
+	return broken, warming, told
+}
+
 func (s *Sender) holdAt(ep *endpoint) Hold {
 	r := ep.route
 	switch {
--- /dev/null
+++ b/policy/holding_test.go
@@ -0,0 +1,52 @@
+package policy
+
+import (
+	"reflect"
+	"testing"
+)
+
+// Why messages wait, and that asking changes nothing: the sender that is asked acts as the one that is not.
+func TestHolding(t *testing.T) {
+	eps := []Endpoint{{ID: 1, State: Ready, Kind: 2}}
+	for name, row := range map[string]struct {
+		slots  int
+		events []Event
+		want   Hold
+	}{
+		"told":    {10, []Event{{Kind: EvOutcome, ID: 1, Endpoint: 1, Outcome: Full, Wait: 5000, Latency: 5}}, HoldTold},
+		"breaker": {10, []Event{{Kind: EvOutcome, ID: 1, Endpoint: 1, Outcome: ConnectFailed, Latency: 5}}, HoldBreaker},
+		"cap":     {10, []Event{{Kind: EvPace, Pace: 0.01}}, HoldCap},
+		"pace":    {10, []Event{{Kind: EvOutcome, ID: 1, Endpoint: 1, Outcome: Full, Latency: 5}}, HoldPace},
+		"slot":    {2, nil, HoldSlot},
+		"gone":    {10, []Event{{Kind: EvList, List: []Endpoint{{ID: 1, State: Draining, Kind: 2}}}}, HoldNone},
+	} {
+		run := func(ask bool) (all [][]Action, why map[int]Hold) {
+			set := testSettings()
+			set.CallSlots = row.slots
+			s := New(set, 3)
+			step := func(now float64, events ...Event) {
+				all = append(all, append([]Action(nil), s.Step(now, events, nil)...))
+				why = map[int]Hold{}
+				if ask {
+					s.EachWaiting(func(dest int, h Hold) { why[dest] = h })
+					s.Overview()
+				}
+			}
+			step(1000, Event{Kind: EvList, FullList: true, List: eps}, Event{Kind: EvMessage, ID: 1, Class: clsSafe, Left: 20000})
+			step(1010, row.events...)
+			step(1011, Event{Kind: EvMessage, ID: 2, Class: clsSafe, Left: 20000}, Event{Kind: EvMessage, ID: 3, Class: clsSafe, Left: 20000})
+			last := why
+			for now := 1100.0; now < 9000; now += 100 {
+				step(now)
+			}
+			return all, last
+		}
+		asked, why := run(true)
+		if left, _ := run(false); !reflect.DeepEqual(asked, left) {
+			t.Errorf("%s: a sender that is asked acts otherwise", name)
+		}
+		if why[0] != row.want {
+			t.Errorf("%s: waits for %d, want %d", name, why[0], row.want)
+		}
+	}
+}
