One place runs a command line, for the sender's program and the lab's

The lab's command line had its own copy of parsing, help and exit status. internal/command holds it; each program gives its grammar and says what status an error has.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -9,16 +9,15 @@
 	"runtime"
 	"runtime/debug"
 
-	"github.com/alecthomas/kong"
-
+	"sliptide/internal/command"
 	"sliptide/internal/operator"
 )
 
 // The exit status.
 const (
-	Fine   = 0
-	Failed = 1
-	Misuse = 2 // wrong use or configuration; nothing was started
+	Fine   = command.Fine
+	Failed = command.Failed
+	Misuse = command.Misuse // wrong use or configuration; nothing was started
 )
 
 // ErrConfig marks an error of the configuration: nothing was started.
@@ -98,51 +97,19 @@
 
 func (silent) Error() string { return "" }
 
-type exit int
-
 // Main runs the command that args name and returns the exit status.
-func Main(args []string, env Env) (status int) {
-	defer func() { // kong ends the process after --help; here it ends the command
-		if r := recover(); r != nil {
-			code, ok := r.(exit)
-			if !ok {
-				panic(r)
-			}
-			status = int(code)
-		}
-	}()
-	var g grammar
-	parser, err := kong.New(&g,
-		kong.Name("sliptide"),
-		kong.Description("A sender: takes messages and delivers each by a call to an endpoint of one partner, in time."),
-		kong.Writers(env.Out, env.Err),
-		kong.Exit(func(code int) { panic(exit(code)) }),
-		kong.ConfigureHelp(kong.HelpOptions{Compact: true, NoExpandSubcommands: false}),
-		kong.Bind(&env),
-	)
-	if err != nil {
-		fmt.Fprintln(env.Err, "sliptide:", err)
-		return Failed
-	}
-	ctx, err := parser.Parse(args)
-	if err != nil {
-		fmt.Fprintf(env.Err, "sliptide: %v (sliptide --help tells more)\n", err)
-		return Misuse
-	}
-	err = ctx.Run()
-	var quiet told
-	switch {
-	case err == nil:
-		return Fine
-	case errors.As(err, &quiet):
-		if errors.Is(err, misuse) {
-			return Misuse
-		}
-		return Failed
-	case errors.Is(err, misuse), errors.Is(err, ErrConfig):
-		fmt.Fprintln(env.Err, "sliptide:", err)
-		return Misuse
+func Main(args []string, env Env) int {
+	p := command.Program{Name: "sliptide", Out: env.Out, Err: env.Err, Env: &env, Status: statusOf,
+		Description: "A sender: takes messages and delivers each by a call to an endpoint of one partner, in time."}
+	return p.Main(&grammar{}, args)
+}
+
+// statusOf is the exit status of an error.
+func statusOf(err error) (status int, quiet bool) {
+	var heard told
+	quiet = errors.As(err, &heard)
+	if errors.Is(err, misuse) || errors.Is(err, ErrConfig) {
+		return Misuse, quiet
 	}
-	fmt.Fprintln(env.Err, "sliptide:", err)
-	return Failed
+	return Failed, quiet
 }
--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -13,9 +13,9 @@
 	"strings"
 	"text/tabwriter"
 
-	"github.com/alecthomas/kong"
 	"github.com/schollz/progressbar/v3"
 
+	"sliptide/internal/command"
 	"sliptide/internal/lab/experiment"
 	"sliptide/internal/lab/report"
 	"sliptide/internal/lab/results"
@@ -23,13 +23,6 @@
 	"sliptide/internal/strictxml"
 )
 
-// The exit status.
-const (
-	Fine   = 0
-	Failed = 1
-	Misuse = 2
-)
-
 // Env is what the commands work with.
 type Env struct {
 	Ctx      context.Context
@@ -227,42 +220,18 @@
 	return err
 }
 
-type exit int
-
 // Main runs the command that args name and returns the exit status.
-func Main(args []string, env Env) (status int) {
-	defer func() { // kong ends the process after --help; here it ends the command
-		if r := recover(); r != nil {
-			code, ok := r.(exit)
-			if !ok {
-				panic(r)
-			}
-			status = int(code)
-		}
-	}()
-	var g grammar
-	parser, err := kong.New(&g, kong.Name("sliptide lab"),
-		kong.Description("An emulator of senders, clients and partners, and experiments with it."),
-		kong.Writers(env.Out, env.Err), kong.Exit(func(code int) { panic(exit(code)) }),
-		kong.ConfigureHelp(kong.HelpOptions{Compact: true}), kong.Bind(&env))
-	if err != nil {
-		fmt.Fprintln(env.Err, "sliptide lab:", err)
-		return Failed
-	}
-	ctx, err := parser.Parse(args)
-	if err != nil {
-		fmt.Fprintf(env.Err, "sliptide lab: %v (--help tells more)\n", err)
-		return Misuse
-	}
-	err = ctx.Run()
+func Main(args []string, env Env) int {
+	p := command.Program{Name: "sliptide lab", Out: env.Out, Err: env.Err, Env: &env, Status: statusOf,
+		Description: "An emulator of senders, clients and partners, and experiments with it."}
+	return p.Main(&grammar{}, args)
+}
+
+// statusOf is the exit status of an error.
+func statusOf(err error) (status int, quiet bool) {
 	var bad *strictxml.Error
-	switch {
-	case err == nil:
-		return Fine
-	case errors.As(err, &bad):
-		fmt.Fprintln(env.Err, "sliptide lab:", err)
-		return Misuse
+	if errors.As(err, &bad) {
+		return command.Misuse, false
 	}
-	fmt.Fprintln(env.Err, "sliptide lab:", err)
-	return Failed
+	return command.Failed, false
 }
