A nil storm guard is calm: one use of it in the sender and in the lab

Cause: the sender wrapped the guard in a type of its own to ask for nil before each call, the lab asked nine times more, and each built the guard's settings by itself; the list of endpoints was copied for the guard even where there was none.

Change: Guard's methods take nil, as Recorder's do; storm.SettingsOf is the one way from a sender's settings; Listed gets the list that the module gets.

--- a/cmd/sliptide/run.go
+++ b/cmd/sliptide/run.go
@@ -194,7 +194,7 @@
 	for _, l := range set.Limits {
 		limits[l.Dest] = l.Rate
 	}
-	return storm.New(sender.GuardSettings(&cfg.Settings, limits), cfg.Seed)
+	return storm.New(storm.SettingsOf(&cfg.Settings, limits), cfg.Seed)
 }
 
 // loadOperator reads the operators' file, or the defaults where there is none.
--- a/internal/lab/world/node.go
+++ b/internal/lab/world/node.go
@@ -25,15 +25,13 @@
 	events    []policy.Event
 	actions   []policy.Action
 	held      map[uint64]*message
-	dests     []int // by partner: messages held
 	nextID    uint64
 	stepAt    float64 // of the step that is due; +Inf: none
 	lastStep  float64
 	token     uint32
 	lookAt    float64
 	downUntil float64
-	life      int // restarts so far
-	fresh     []*message
+	life      int                  // restarts so far
 	idle      map[uint32][]float64 // idle connections by endpoint: when each was used last
 	paces     map[int]*dialPace
 	calls     map[*call]bool
@@ -55,7 +53,6 @@
 	timeout float64
 	outcome policy.Outcome
 	wait    float64
-	ran     bool
 	reached bool
 	over    bool
 }
@@ -64,7 +61,6 @@
 	n := &node{
 		w: w, index: index, set: w.p.settings(index), held: map[uint64]*message{}, stepAt: math.Inf(1),
 		lastStep: -1, lookAt: math.Inf(1), idle: map[uint32][]float64{}, paces: map[int]*dialPace{}, calls: map[*call]bool{},
-		dests: make([]int, w.p.Partners),
 	}
 	n.think()
 	return n
@@ -80,7 +76,7 @@
 		for i := range n.w.partners {
 			limits[i] = p.limitOf()
 		}
-		n.guard = storm.New(storm.Settings{Senders: p.Senders, MaxRetryAfter: p.MaxRetry, Limits: limits, X1: n.set.X1, OwnLimits: []bool{p.Own}}, seed)
+		n.guard = storm.New(storm.SettingsOf(&n.set, limits), seed)
 		fallthrough
 	case Before:
 		n.mod = policy.New(n.set, seed)
@@ -109,9 +105,7 @@
 			ev.List = append(ev.List, l)
 		}
 	}
-	if n.guard != nil {
-		n.guard.Listed(now, ev.List, ev.FullList)
-	}
+	n.guard.Listed(now, ev.List, ev.FullList)
 	n.events = append(n.events, ev)
 	n.due(now)
 }
@@ -128,9 +122,7 @@
 // take is a message handed in.
 func (n *node) take(now float64, m *message) {
 	again := n.w.p.Marks && m.tries > 1
-	if n.guard != nil {
-		n.guard.Arrived(now, m.partner, m.key, again)
-	}
+	n.guard.Arrived(now, m.partner, m.key, again)
 	if n.downUntil > now || n.set.MaxHeld > 0 && len(n.held) >= n.set.MaxHeld {
 		n.w.refused(now, m, n.comeBack(now, m, min(1000, max(n.set.MaxRetryAfter, 1))))
 		return
@@ -138,17 +130,13 @@
 	n.nextID++
 	m.id, m.attempts, m.doubt = n.nextID, 0, false
 	n.hold(now, m)
-	n.fresh = append(n.fresh, m)
 	n.events = append(n.events, policy.Event{Kind: policy.EvMessage, ID: m.id, Left: m.until - now, Again: again, Dest: m.partner})
 	n.due(now)
 }
 
 func (n *node) hold(now float64, m *message) {
 	n.held[m.id] = m
-	n.dests[m.partner]++
-	if n.guard != nil {
-		n.guard.Held(now, m.partner, 1)
-	}
+	n.guard.Held(now, m.partner, 1)
 }
 
 func (n *node) forget(now float64, m *message) {
@@ -156,29 +144,21 @@
 		return
 	}
 	delete(n.held, m.id)
-	n.dests[m.partner]--
-	if n.guard != nil {
-		n.guard.Held(now, m.partner, -1)
-	}
+	n.guard.Held(now, m.partner, -1)
 }
 
 func (n *node) comeBack(now float64, m *message, least float64) float64 {
-	if n.guard == nil {
-		return least
-	}
 	return n.guard.Refused(now, m.partner, m.key, max(m.until-now, 0), least)
 }
 
 // step lets the brain decide, and carries out what it does.
 func (n *node) step(now float64) {
 	n.stepAt, n.lastStep = math.Inf(1), now
-	if n.guard != nil {
-		for _, o := range n.guard.Orders(now) {
-			for _, p := range o.Paces {
-				n.events = append(n.events, policy.Event{Kind: policy.EvPace, Dest: o.Dest, Endpoint: p.Endpoint, Pace: p.Rate})
-			}
-			n.paceDials(o.Dest, o.Dials)
+	for _, o := range n.guard.Orders(now) {
+		for _, p := range o.Paces {
+			n.events = append(n.events, policy.Event{Kind: policy.EvPace, Dest: o.Dest, Endpoint: p.Endpoint, Pace: p.Rate})
 		}
+		n.paceDials(o.Dest, o.Dials)
 	}
 	n.actions = n.brain.Step(now, n.events, n.actions[:0])
 	n.events = n.events[:0]
@@ -186,15 +166,12 @@
 	for i := range n.actions {
 		n.act(now, &n.actions[i])
 	}
-	n.fresh = n.fresh[:0]
 	for _, c := range n.sends {
 		n.start(now, c)
 	}
-	if n.guard != nil {
-		if at := n.guard.Next(); at < n.lookAt || n.lookAt <= now {
-			if n.lookAt = at; !math.IsInf(at, 1) {
-				n.w.queue.push(event{at: max(at, now+1), kind: evLook, node: n})
-			}
+	if at := n.guard.Next(); at < n.lookAt || n.lookAt <= now {
+		if n.lookAt = at; !math.IsInf(at, 1) {
+			n.w.queue.push(event{at: max(at, now+1), kind: evLook, node: n})
 		}
 	}
 }
@@ -308,9 +285,7 @@
 		e := policy.Event{Kind: policy.EvOutcome, ID: c.ids[i], Endpoint: c.at.id, Attempt: c.tries[i], Outcome: c.outcome,
 			Wait: c.wait, Latency: now - c.sentAt, Report: rep}
 		n.events = append(n.events, e)
-		if n.guard != nil {
-			n.guard.Outcome(now, &e)
-		}
+		n.guard.Outcome(now, &e)
 		if m.call == c {
 			m.call = nil
 		}
@@ -359,9 +334,7 @@
 	}
 	clear(n.paces)
 	n.think()
-	if n.guard != nil {
-		n.guard.Recall(now+gap, facts)
-	}
+	n.guard.Recall(now+gap, facts)
 	n.stepAt, n.lookAt = math.Inf(1), math.Inf(1)
 	if n.mod != nil {
 		n.events = append(n.events, policy.Event{Kind: policy.EvFacts, Facts: facts})
@@ -374,9 +347,7 @@
 	slices.Sort(ids)
 	for _, id := range ids {
 		m := n.held[id]
-		if n.guard != nil {
-			n.guard.Held(now, m.partner, 1)
-		}
+		n.guard.Held(now, m.partner, 1)
 		e := policy.Event{Kind: policy.EvMessage, ID: id, Left: m.until - now - gap, Dest: m.partner, Restored: true, Attempts: m.attempts, Doubtful: m.doubt}
 		if m.doubt {
 			e.DoubtAge = now + gap - m.doubtAt
--- a/internal/sender/memory.go
+++ b/internal/sender/memory.go
@@ -80,7 +80,7 @@
 	if len(facts) > 0 {
 		slices.SortFunc(facts, func(a, b policy.DestFacts) int { return cmp.Compare(a.Dest, b.Dest) })
 		s.events = append(s.events, policy.Event{Kind: policy.EvFacts, Facts: facts})
-		s.guard.recall(s.now, facts)
+		s.guard.Recall(s.now, facts)
 	}
 }
 
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -134,7 +134,7 @@
 	clock  Clock
 	now    float64
 	memory memory
-	guard  guard
+	guard  *storm.Guard
 	watch  watcher
 
 	msgs    map[uint64]*message // taken on and not over, and not waiting for a notice
@@ -177,7 +177,7 @@
 		set: o.Settings, mod: policy.New(o.Settings, o.Seed), log: o.Log,
 		journal: o.Journal, notices: o.Notices,
 		in: make(chan input, queued), done: make(chan struct{}),
-		clock: o.Clock, guard: guard{o.Storms}, watch: watcher{Recorder: o.Watch},
+		clock: o.Clock, guard: o.Storms, watch: watcher{Recorder: o.Watch},
 		partner: o.Partner, streams: o.Streams,
 		msgs:   map[uint64]*message{},
 		traces: map[string]uint64{},
@@ -235,7 +235,7 @@
 	}
 	s.msgs[e.Num] = &message{Entry: e}
 	s.traces[e.Trace] = e.Num
-	s.guard.held(s.now, e.Dest, 1)
+	s.guard.Held(s.now, e.Dest, 1)
 	s.watchTaken(e, class, true)
 	ev := policy.Event{
 		Kind: policy.EvMessage, ID: e.Num, Class: class, Key: e.Item, Left: left, Again: e.Again,
@@ -374,13 +374,13 @@
 		o.verdict <- Verdict{NoRoute: true, RetryAfter: s.busyRetry()}
 		return
 	case !s.stopAt.IsZero(), left <= 0, s.set.MaxHeld > 0 && len(s.msgs) >= s.set.MaxHeld, !s.journal.Room(len(m.Body)):
-		s.guard.arrived(s.now, m)
+		s.guard.Arrived(s.now, m.Dest, keyHash(m.Key), m.Again)
 		s.watchRefused(m.Dest, s.whyNot())
 		o.verdict <- Verdict{RetryAfter: s.comeBack(m.Dest, m.Key, max(left, 0), s.busyRetry())}
 		return
 	}
-	s.guard.arrived(s.now, m)
-	s.guard.held(s.now, m.Dest, 1)
+	s.guard.Arrived(s.now, m.Dest, keyHash(m.Key), m.Again)
+	s.guard.Held(s.now, m.Dest, 1)
 	e := &journal.Entry{
 		Num: s.journal.Next(), Trace: string(m.Trace), Key: string(m.Key), Class: s.set.Classes[m.Class].Name,
 		Item: m.Item, Dest: m.Dest, Again: m.Again, Deadline: int64(s.now + left), Body: slices.Clone(m.Body),
@@ -418,7 +418,7 @@
 		if e.Outcome != policy.Moot { // one that was not sent tells nothing
 			s.noteCall(c)
 		}
-		s.guard.outcome(s.now, e)
+		s.guard.Outcome(s.now, e)
 		m := s.msgs[e.ID]
 		if m == nil || m.call != c {
 			continue
@@ -458,7 +458,6 @@
 
 func (s *Sender) takeList(l *discovery.List) {
 	s.recall(l)
-	s.guard.listed(s.now, endpoints(l), l.Full)
 	ev := policy.Event{Kind: policy.EvList, FullList: l.Full}
 	listed := make(map[uint32]bool, len(l.Entries))
 	for _, e := range l.Entries {
@@ -476,6 +475,7 @@
 			}
 		}
 	}
+	s.guard.Listed(s.now, ev.List, ev.FullList)
 	s.events = append(s.events, ev)
 	for c := range s.calls {
 		// Nothing new may reach an endpoint that drains or is gone, and a call that still
@@ -505,7 +505,7 @@
 func (s *Sender) forget(m *message) {
 	delete(s.msgs, m.Num)
 	delete(s.traces, m.Trace)
-	s.guard.held(s.now, m.Dest, -1)
+	s.guard.Held(s.now, m.Dest, -1)
 }
 
 // owe ends a message that was taken on by a notice. It is over once that is taken.
@@ -723,9 +723,7 @@
 	if !s.stopAt.IsZero() {
 		wait = min(wait, 50*time.Millisecond)
 	}
-	if s.guard.Guard != nil {
-		wait = min(wait, millis(min(s.guard.Next()-s.clock.Now(), 1e6)))
-	}
+	wait = min(wait, millis(min(s.guard.Next()-s.clock.Now(), 1e6)))
 	wait = s.watchWait(wait)
 	if at, due := s.tellAt(); due {
 		wait = min(wait, millis(at-s.clock.Now()))
--- a/internal/sender/watch.go
+++ b/internal/sender/watch.go
@@ -121,7 +121,7 @@
 	gauge(telemetry.Ramping, float64(warming))
 	gauge(telemetry.LimitTold, told)
 	gauge(telemetry.Connections, float64(s.pool.Open()))
-	if s.guard.Guard != nil {
+	if s.guard != nil {
 		st := s.guard.Stats()
 		gauge(telemetry.StormPromised, float64(st.Promised))
 		gauge(telemetry.StormOverbooked, float64(st.Overbooked))
--- a/internal/storm/storm.go
+++ b/internal/storm/storm.go
@@ -96,7 +96,7 @@
 	Rate     float64
 }
 
-// Guard follows all destinations of one sender. It is not safe for concurrent use.
+// Guard follows all destinations of one sender. A nil Guard sees no storm. It is not safe for concurrent use.
 type Guard struct {
 	set    Settings
 	rng    *rand.Rand
@@ -174,8 +174,22 @@
 	}
 }
 
+// SettingsOf is what a Guard needs of a sender's settings, with the limits that the operators state.
+func SettingsOf(set *policy.Settings, limits map[int]float64) Settings {
+	s := Settings{Senders: set.Senders, MaxRetryAfter: set.MaxRetryAfter, Limits: limits, X1: set.X1, Rated: set.Rated}
+	for _, k := range set.Kinds {
+		s.OwnLimits = append(s.OwnLimits, k.OwnLimits)
+	}
+	return s
+}
+
 // Stats returns the counts so far.
-func (g *Guard) Stats() Stats { return g.stats }
+func (g *Guard) Stats() Stats {
+	if g == nil {
+		return Stats{}
+	}
+	return g.stats
+}
 
 // Phase is what a destination goes through.
 func (g *Guard) Phase(id int) Phase {
@@ -187,6 +201,9 @@
 
 // Listed takes news of the list of endpoints, as the decision module gets it.
 func (g *Guard) Listed(now float64, list []policy.Endpoint, full bool) {
+	if g == nil {
+		return
+	}
 	if full {
 		named := make(map[uint32]bool, len(list))
 		for i := range list {
@@ -282,6 +299,9 @@
 // return that went on then goes on now. What that life had promised is not known any more; as long as it may
 // bind, nothing is promised before it.
 func (g *Guard) Recall(now float64, facts []policy.DestFacts) {
+	if g == nil {
+		return
+	}
 	for i := range facts {
 		f := &facts[i]
 		broken, ramping, lastOK, rampAt := 0, 0, math.Inf(-1), 0.0
@@ -332,10 +352,13 @@
 	g.follow(d)
 }
 
-// Outcome takes the end of an attempt that was sent; e is an EvOutcome.
+// Outcome takes the end of an attempt that was sent; it passes over whatever is no EvOutcome.
 func (g *Guard) Outcome(now float64, e *policy.Event) {
+	if g == nil || e.Kind != policy.EvOutcome || e.Outcome == policy.Moot {
+		return
+	}
 	ep := g.eps[e.Endpoint]
-	if ep == nil || e.Outcome == policy.Moot {
+	if ep == nil {
 		return
 	}
 	d := ep.dest
@@ -400,6 +423,9 @@
 
 // Arrived takes a message that was handed in. key names the message over all its tries, 0 if nothing does.
 func (g *Guard) Arrived(now float64, id int, key uint64, again bool) {
+	if g == nil {
+		return
+	}
 	d := g.dests[id]
 	if d == nil {
 		return
@@ -435,6 +461,9 @@
 // journal brings back counts before any list has named its destination: a storm that seems to hold nothing is
 // over too soon, and the backlog goes out at once.
 func (g *Guard) Held(now float64, id, by int) {
+	if g == nil {
+		return
+	}
 	if d := g.dests[id]; d != nil || by > 0 {
 		d = g.dest(id, now)
 		d.held = max(d.held+by, 0)
@@ -445,10 +474,10 @@
 // decision module says; in calm that is the answer. left is how long the message may still be delivered: one
 // that would come too late takes nobody's place. The answer is never under least but for the bound on it.
 func (g *Guard) Refused(now float64, id int, key uint64, left, least float64) float64 {
-	d := g.dests[id]
-	if d == nil {
+	if g == nil || g.dests[id] == nil {
 		return least
 	}
+	d := g.dests[id]
 	d.refused.add(now, 1)
 	after, booked := least, false
 	if d.phase != Calm {
@@ -535,7 +564,7 @@
 // Orders returns what has changed since the last call: paces and connections while there is a storm, and once
 // their end. It is called ahead of each step of the decision module.
 func (g *Guard) Orders(now float64) (list []Order) {
-	if !g.news && now < g.lookAt { // a step costs nothing for storms that stand
+	if g == nil || !g.news && now < g.lookAt { // a step costs nothing for storms that stand
 		return nil
 	}
 	g.news, g.lookAt = false, math.Inf(1)
@@ -606,4 +635,9 @@
 }
 
 // Next is when Orders is due again, +Inf if never.
-func (g *Guard) Next() float64 { return g.lookAt }
+func (g *Guard) Next() float64 {
+	if g == nil {
+		return math.Inf(1)
+	}
+	return g.lookAt
+}
