--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 .PHONY: build test lint fuzz crash h2-chaos storms telemetry measure bench generate run toy clean
 
 build: ## the program and the simulator's adapter, into bin/
-	mkdir -p bin && go build -o bin/ ./cmd/...
+	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
 
 test: ## all checks, as CI runs them
 	./test.sh
