A known list is followed, not asked for again, and asks for it back off with jitter

Cause: internal/discovery asked for the whole list at each start though the configuration holds one, and dropped its version after any failure (watch.go, once and Run), so that it asked for the whole list again, every 100 ms, for good. A list costs discovery a line for each endpoint. Drains of the release never arrived, and calls went to endpoints gone.

Change: the list of the configuration has a version, and what has changed since is asked for by a watch. An agent that turns an ask away with a status leaves no gap; a broken answer, a time-out and another agent do. Pauses double, are drawn by chance and settle at 20 asks a second over the fleet (internal/discovery/pace.go); the first ask is spread.

--- a/cmd/sliptide/run.go
+++ b/cmd/sliptide/run.go
@@ -110,7 +110,7 @@
 	})
 	listed := make(chan struct{}, 1)
 	asked := false // discovery is: what comes from here on is its word, an empty list too
-	watch := discovery.NewWatch(cfg.Discovery, &cfg.Settings, log, func(l discovery.List) {
+	watch := discovery.NewWatch(cfg.Discovery, &cfg.Settings, cfg.Seed, log, func(l discovery.List) {
 		snd.List(l)
 		if !asked && len(l.Entries) == 0 {
 			return // a known list without entries would meet the first messages with 503
--- a/internal/discovery/notices.go
+++ b/internal/discovery/notices.go
@@ -14,7 +14,8 @@
 
 const (
 	noticeTimeout = 150 * time.Millisecond // the agent answers at once; a notice twice does no harm, a late one does
-	noticeLines   = 200                    // in one call; a line has under 300 bytes
+	noticePause   = 100 * time.Millisecond
+	noticeLines   = 200 // in one call; a line has under 300 bytes
 )
 
 // Notice is the end of a message that was taken on and is not delivered.
@@ -76,7 +77,7 @@
 			// The first failure may be the kept connection's alone: a new one is tried at once.
 			if failed++; failed > 1 {
 				n.log.Warn().Err(err).Int("notices", len(batch)).Msg("notices not taken, trying again")
-				pause(ctx, retryPause)
+				pause(ctx, noticePause)
 			}
 			continue
 		}
--- /dev/null
+++ b/internal/discovery/pace.go
@@ -0,0 +1,47 @@
+package discovery
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"sliptide/policy"
+)
+
+const (
+	pauseLeast = 100 * time.Millisecond // the first pause after a failure, if one sender asks alone
+	fleetAsks  = 20.0                   // failed asks a second that all senders together settle at, about
+	pauseSteps = 16                     // the first pause is at least this part of the longest
+	askShare   = 0.5                    // part of the time within which the list must be asked for, that a pause may take
+	askMost    = 5 * time.Second        // and no pause is longer, where the settings name no such time
+)
+
+// pace says when the list is asked for. One agent that asks ten times a second does no harm; eighty that start
+// in one moment and each ask again at once keep discovery overbooked for good, and none of them learns of a
+// drain. Pauses double, up to where the whole fleet asks fleetAsks times a second, and are drawn by chance so
+// that no two senders stay in step. It has no clock and waits for nothing.
+type pace struct {
+	rng         *rand.Rand
+	least, most time.Duration
+}
+
+func newPace(set *policy.Settings, seed uint64) pace {
+	const mean = 0.75 // of what a pause is drawn from, half of it to all
+	most := time.Duration(float64(max(set.Senders, 1)) / fleetAsks / mean * float64(time.Second))
+	bound := askMost
+	if within := set.AskWithin * askShare; set.Subscribe && within > 0 && within < float64(askMost/time.Millisecond) {
+		bound = time.Duration(within * float64(time.Millisecond))
+	}
+	most = min(max(most, pauseLeast), max(bound, pauseLeast))
+	return pace{rng: rand.New(rand.NewPCG(seed, 0xd15c)), least: max(pauseLeast, most/pauseSteps), most: most}
+}
+
+// first is how long a sender that has a list already waits before it asks: all that are started in one moment
+// would ask in one.
+func (p *pace) first() time.Duration { return time.Duration(p.rng.Float64() * float64(p.most)) }
+
+// after is the pause after so many failures in a row, 1 or more.
+func (p *pace) after(failures int) time.Duration {
+	full := min(float64(p.least)*math.Exp2(float64(min(failures-1, 30))), float64(p.most))
+	return time.Duration(full * (0.5 + 0.5*p.rng.Float64()))
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -19,7 +19,6 @@
 	watchFor    = 4 * time.Second // a watch is held so long: short, so that a dead one is noticed soon
 	watchGrace  = 500 * time.Millisecond
 	listTimeout = time.Second
-	retryPause  = 100 * time.Millisecond
 	maxNames    = 1 << 14
 )
 
@@ -43,15 +42,17 @@
 	Update   func(List)
 
 	agent   *client
+	pace    pace
 	parser  fastjson.Parser
 	ids     map[string]uint32 // an endpoint keeps its number as long as the process runs
 	version uint64
-	synced  bool // the version is the agent's, and nothing was missed since
+	synced  bool   // the version stands for all that has been told, and nothing was missed since
+	of      string // the agent whose version it is
 }
 
-// NewWatch returns a Watch on the agent at addr.
-func NewWatch(addr string, set *policy.Settings, log zerolog.Logger, update func(List)) *Watch {
-	return &Watch{Settings: set, Log: log, Update: update, agent: newClient(addr), ids: map[string]uint32{}}
+// NewWatch returns a Watch on the agent at addr. The seed spreads its calls over time.
+func NewWatch(addr string, set *policy.Settings, seed uint64, log zerolog.Logger, update func(List)) *Watch {
+	return &Watch{Settings: set, Log: log, Update: update, agent: newClient(addr), pace: newPace(set, seed), ids: map[string]uint32{}}
 }
 
 // Move makes the watch follow the agent at addr, beginning with its whole list: its
@@ -63,14 +64,21 @@
 	if len(text) == 0 {
 		return nil
 	}
-	return w.read(text)
+	err := w.read(text)
+	// What has changed since is asked for, not the whole list: that costs discovery a line for each endpoint, and
+	// a fleet that is started in one moment would overbook it for good.
+	w.synced, w.of = err == nil, w.agent.host()
+	return err
 }
 
-// Run follows the list until the context ends. Through silence it keeps asking:
-// with a time-out, on a new connection, and for the whole list after a gap.
+// Run follows the list until the context ends. Through silence it keeps asking, at the pace's times: with a
+// time-out, on a new connection, and for the whole list after a gap. An agent that turns it away leaves no gap.
 func (w *Watch) Run(ctx context.Context) {
 	defer w.agent.close()
 	failed := 0
+	if len(w.ids) > 0 && !pause(ctx, w.pace.first()) {
+		return
+	}
 	for ctx.Err() == nil {
 		err := w.once(ctx)
 		if err == nil {
@@ -80,34 +88,35 @@
 			failed = 0
 			continue
 		}
-		w.synced = false
 		if failed++; failed == 1 {
 			w.Log.Warn().Err(err).Msg("discovery does not answer")
 		}
-		if !pause(ctx, retryPause) {
+		if !pause(ctx, w.pace.after(failed)) {
 			return
 		}
 	}
 }
 
 func (w *Watch) once(ctx context.Context) error {
-	path, timeout := "/discovery/hosts", listTimeout
-	if w.synced {
+	path, timeout, host := "/discovery/hosts", listTimeout, w.agent.host()
+	if w.synced = w.synced && w.of == host; w.synced {
 		path = fmt.Sprintf("%s?index=%d&wait=%d", path, w.version, watchFor.Milliseconds())
 		timeout = watchFor + watchGrace
 	}
-	request := append(http1.AppendRequest(nil, "GET", path, w.agent.host()), "\r\n"...)
+	request := append(http1.AppendRequest(nil, "GET", path, host), "\r\n"...)
 	m, err := w.agent.do(ctx, request, timeout)
 	if err != nil {
+		w.synced = false
 		return err
 	}
-	if m.Status != 200 {
+	if m.Status != 200 { // turned away with nothing told: what it held last still goes for both sides
 		return fmt.Errorf("discovery answers %d", m.Status)
 	}
 	if err := w.read(m.Body); err != nil {
+		w.synced = false
 		return err
 	}
-	w.synced = true
+	w.synced, w.of = true, host
 	return nil
 }
 
--- /dev/null
+++ b/internal/discovery/watch_test.go
@@ -0,0 +1,176 @@
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sort"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"sliptide/policy"
+)
+
+const oneEndpoint = `{"version":%d,"full":true,"servers":[{"id":"s-1","addr":"10.1.0.1:9000","cell":1,"state":"up"}]}`
+
+// agent answers each ask with the next of its statuses and hands over what was asked for.
+func agent(t *testing.T, statuses ...int) (addr string, asked <-chan string) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	asks := make(chan string, 64)
+	var mu sync.Mutex
+	answer := func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		if len(statuses) == 0 {
+			return 0
+		}
+		status := statuses[0]
+		statuses = statuses[1:]
+		return status
+	}
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				rd := bufio.NewReader(nc)
+				for {
+					r, err := http.ReadRequest(rd)
+					if err != nil {
+						return
+					}
+					asks <- r.URL.RequestURI()
+					status, body := answer(), fmt.Sprintf(oneEndpoint, 42)
+					switch status {
+					case 0: // silent from here on
+						continue
+					case 1: // a broken answer
+						status, body = 200, `{"version":43,"servers":[{`
+					}
+					fmt.Fprintf(nc, "HTTP/1.1 %d x\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+				}
+			}()
+		}
+	}()
+	t.Cleanup(func() { ln.Close() })
+	return ln.Addr().String(), asks
+}
+
+func follow(t *testing.T, addr string, known string) *Watch {
+	w := NewWatch(addr, &policy.Settings{}, 1, zerolog.Nop(), func(List) {})
+	if err := w.Known([]byte(known)); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { w.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return w
+}
+
+func expect(t *testing.T, asked <-chan string, want ...string) {
+	t.Helper()
+	for i, w := range want {
+		select {
+		case got := <-asked:
+			if got != w {
+				t.Fatalf("ask %d is %s, want %s", i, got, w)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatalf("ask %d never came", i)
+		}
+	}
+}
+
+// A fleet that starts in one moment must not ask for 80 whole lists: who has a list asks what has changed, also
+// after it was turned away.
+func TestKnownListIsFollowedNotAskedForAgain(t *testing.T) {
+	addr, asked := agent(t, 503, 503, 200, 503)
+	follow(t, addr, fmt.Sprintf(oneEndpoint, 41))
+	const from41, from42 = "/discovery/hosts?index=41&wait=4000", "/discovery/hosts?index=42&wait=4000"
+	expect(t, asked, from41, from41, from41, from42, from42)
+}
+
+func TestWithoutAListTheWholeIsAskedFor(t *testing.T) {
+	addr, asked := agent(t, 503, 200)
+	follow(t, addr, "")
+	expect(t, asked, "/discovery/hosts", "/discovery/hosts", "/discovery/hosts?index=42&wait=4000")
+}
+
+// What was broken on the way may have told something: only the whole list shows what was missed.
+func TestWholeListAfterABrokenAnswer(t *testing.T) {
+	addr, asked := agent(t, 1, 200)
+	follow(t, addr, fmt.Sprintf(oneEndpoint, 41))
+	expect(t, asked, "/discovery/hosts?index=41&wait=4000", "/discovery/hosts", "/discovery/hosts?index=42&wait=4000")
+}
+
+// Another agent's versions are its own.
+func TestWholeListFromANewAgent(t *testing.T) {
+	one, askedOne := agent(t, 200)
+	two, askedTwo := agent(t, 200)
+	w := follow(t, one, fmt.Sprintf(oneEndpoint, 41))
+	expect(t, askedOne, "/discovery/hosts?index=41&wait=4000", "/discovery/hosts?index=42&wait=4000")
+	w.Move(two)
+	expect(t, askedTwo, "/discovery/hosts", "/discovery/hosts?index=42&wait=4000")
+}
+
+// What the settings of a fleet make of the pauses. Absurd numbers are a fleet of one or as many as the bound allows.
+func TestPauseBounds(t *testing.T) {
+	for _, c := range []struct {
+		senders   int
+		subscribe bool
+		within    float64
+		want      time.Duration
+	}{
+		{1, true, 10000, 100 * time.Millisecond}, {0, true, 10000, 100 * time.Millisecond}, {-7, false, 0, 100 * time.Millisecond},
+		{3, true, 10000, 200 * time.Millisecond}, {80, true, 10000, 5 * time.Second}, {80, true, 4000, 2 * time.Second},
+		{80, true, 0, 5 * time.Second}, {80, true, 1, 100 * time.Millisecond}, {80, false, 0, 5 * time.Second}, {1 << 30, true, 1e300, 5 * time.Second},
+	} {
+		p := newPace(&policy.Settings{Senders: c.senders, Subscribe: c.subscribe, AskWithin: c.within}, 1)
+		if p.most.Round(time.Millisecond) != c.want {
+			t.Errorf("%d senders, within %g: %v, want %v", c.senders, c.within, p.most, c.want)
+		}
+		for n := 1; n < 100; n++ {
+			if d := p.after(n); d < pauseLeast/2 || d > p.most {
+				t.Errorf("%d senders: pause %v after %d failures", c.senders, d, n)
+			}
+		}
+	}
+}
+
+// Eighty senders of which every ask fails, all started in one moment, on a clock of their own: their asks stay
+// under twice what the fleet is meant to settle at, and under six times as much in the first seconds, when a fleet without pauses asks 800 times.
+func TestFleetAsksAreBoundedAndSpread(t *testing.T) {
+	const senders, seconds = 80, 60
+	var asks []float64
+	for i := range senders {
+		p := newPace(&policy.Settings{Senders: senders, Subscribe: true, AskWithin: 10000}, uint64(i))
+		at := p.first().Seconds()
+		for n := 1; at < seconds; n++ {
+			asks = append(asks, at)
+			at += p.after(n).Seconds()
+		}
+	}
+	sort.Float64s(asks)
+	perSecond := make([]int, seconds)
+	for _, at := range asks {
+		perSecond[int(at)]++
+	}
+	for s, n := range perSecond {
+		if s < 10 && n > 6*fleetAsks || s >= 10 && n > 2*fleetAsks {
+			t.Errorf("second %d: %d asks", s, n)
+		}
+	}
+	t.Logf("asks a second: %v", perSecond)
+}
