sliptide lab count adds up a fleet's logs over time, from a log of each message's records

Need: what is harmless in one sender and harmful in eighty shows in no single log, and the log held changes of state only.

Change: <log records="true"/> in the operators' file, off by default, writes a line for each record that telemetry gets of a message; sliptide lab count DIR adds the lines of all senders up, by window and destination.

--- a/cmd/sliptide/run.go
+++ b/cmd/sliptide/run.go
@@ -106,7 +106,7 @@
 	snd = sender.New(sender.Options{
 		Settings: cfg.Settings, Seed: cfg.Seed, Sockets: calls,
 		Journal: jr, Restored: restored, Notices: notices.Post, Memory: memory.Memory, Clock: clock, Log: log,
-		Partner: book.Of, Streams: partners.Streams, Storms: guard(cfg, op.Storms), Watch: pipe.Records(),
+		Partner: book.Of, Streams: partners.Streams, Storms: guard(cfg, op.Storms), Watch: pipe.Records(), Records: op.Log.Records,
 	})
 	listed := make(chan struct{}, 1)
 	asked := false // discovery is: what comes from here on is its word, an empty list too
--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -36,6 +36,7 @@
 	Report    reportCmd    `cmd:"" help:"Draw results as an HTML page."`
 	Compare   compareCmd   `cmd:"" help:"Tell in what two results differ by more than chance."`
 	Collector collectorCmd `cmd:"" help:"Serve as an OTLP collector and show the traces that arrive."`
+	Count     countCmd     `cmd:"" help:"Add up the logs of a fleet over time: calls, refusals, lists, what is held."`
 	Schema    schemaCmd    `cmd:"" help:"Print the XML Schema of experiment files."`
 }
 
--- /dev/null
+++ b/internal/lab/cli/count.go
@@ -0,0 +1,27 @@
+package cli
+
+import (
+	"errors"
+	"time"
+
+	"sliptide/internal/lab/fleet"
+)
+
+type countCmd struct {
+	Folder string        `arg:"" help:"Folder with one *.log for each sender, written with <log records=\"true\"/>."`
+	Every  time.Duration `default:"5s" help:"Length of a row."`
+	Dest   int           `default:"-1" help:"One destination alone." placeholder:"N"`
+}
+
+// Run runs the command.
+func (c *countCmd) Run(env *Env) error {
+	if c.Every <= 0 {
+		return errors.New("--every: a row needs a length over 0")
+	}
+	n := fleet.NewCount(c.Every, c.Dest)
+	if err := n.Folder(c.Folder); err != nil {
+		return err
+	}
+	n.Write(env.Out)
+	return nil
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -18,6 +18,7 @@
 // is off by default.
 type File struct {
 	Ready     Ready
+	Log       Log
 	Knowledge Knowledge
 	Storms    Storms
 	Telemetry Telemetry
@@ -81,6 +82,11 @@
 	Patience time.Duration // with an empty list and no word from discovery, it is ready after so long
 }
 
+// Log sets what the log holds beside changes of state.
+type Log struct {
+	Records bool // a line for each thing that happens to a message
+}
+
 // Knowledge sets what a sender keeps of what it has learned, over its restarts.
 type Knowledge struct {
 	Enabled    bool
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -40,7 +40,7 @@
 	{"other root", `<config version="1"/>`, "root element <config>"},
 	{"no version", `<sliptide/>`, "lacks version"},
 	{"other version", `<sliptide version="2"/>`, `version="2"`},
-	{"unknown element", `<sliptide version="1"><kafka/></sliptide>`, "<ready>, <knowledge>"},
+	{"unknown element", `<sliptide version="1"><kafka/></sliptide>`, "<ready>, <log>, <knowledge>"},
 	{"unknown attribute", `<sliptide version="1"><ready patient="5s"/></sliptide>`, "allowed: patience"},
 	{"misplaced", `<sliptide version="1"><half-life/></sliptide>`, "unknown element <half-life>"},
 	{"nested wrongly", `<sliptide version="1"><ready><knowledge/></ready></sliptide>`, "no elements here"},
--- a/internal/operator/spec.go
+++ b/internal/operator/spec.go
@@ -33,6 +33,13 @@
 				Doc: "Without a list of endpoints, the sender is ready after so long.",
 				Put: func(f *File, v int64) { f.Ready.Patience = time.Duration(v) },
 			}},
+		}, {
+			Name: "log", Doc: "What the log holds beside changes of state.",
+			Attrs: []attribute{{
+				Name: "records", Fallback: "false", Values: strictxml.OneOf("false", "true"),
+				Doc: "A line for each thing that happens to a message, which sliptide lab count adds up. Many lines: for a replay, not for service.",
+				Put: func(f *File, v int64) { f.Log.Records = v == 1 },
+			}},
 		}, {
 			Name: "knowledge", Doc: "Keeping over restarts what the sender has learned of its partners.",
 			Attrs: []attribute{{
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -117,6 +117,7 @@
 	Streams int
 	Storms  *storm.Guard        // nil: storms are not damped
 	Watch   *telemetry.Recorder // nil: nobody watches
+	Records bool                // a line in the log for each thing that happens to a message
 	Log     zerolog.Logger
 }
 
@@ -177,7 +178,7 @@
 		set: o.Settings, mod: policy.New(o.Settings, o.Seed), log: o.Log,
 		journal: o.Journal, notices: o.Notices,
 		in: make(chan input, queued), done: make(chan struct{}),
-		clock: o.Clock, guard: o.Storms, watch: watcher{Recorder: o.Watch},
+		clock: o.Clock, guard: o.Storms, watch: watcher{Recorder: o.Watch, lines: o.Records, log: o.Log},
 		partner: o.Partner, streams: o.Streams,
 		msgs:   map[uint64]*message{},
 		traces: map[string]uint64{},
--- a/internal/sender/watch.go
+++ b/internal/sender/watch.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"sliptide/internal/journal"
 	"sliptide/internal/outbound"
 	"sliptide/internal/storm"
@@ -15,16 +17,51 @@
 	gaugesEvery = 1000.0 // and between two sets of gauges
 )
 
-// watcher tells telemetry what the sender does. All of it is a push into a bounded queue; with a nil Recorder it
-// is nothing.
+// watcher tells telemetry, and the log where that is wanted, what the sender does. All of it is a push into a
+// bounded queue or a line; with a nil Recorder and without lines it is nothing.
 type watcher struct {
 	*telemetry.Recorder
+	lines    bool // a line in the log for each record of a message
+	log      zerolog.Logger
 	holds    map[int]policy.Hold // as told
 	holdsAt  float64
 	gaugesAt float64
 	skipped  bool // a look was too soon after the last: one is due at holdsAt
 }
 
+// On tells whether records are wanted.
+func (w *watcher) On() bool { return w.lines || w.Recorder.On() }
+
+// Push tells of one thing.
+func (w *watcher) Push(r telemetry.Record) {
+	if w.lines {
+		w.line(&r)
+	}
+	w.Recorder.Push(r)
+}
+
+// line writes a record of a message, for "sliptide lab count". A message is named by its number, not by what
+// its client calls it.
+func (w *watcher) line(r *telemetry.Record) {
+	e := w.log.Log().Int32("dest", r.Dest)
+	switch r.Kind {
+	case telemetry.Taken:
+		e = e.Bool("again", r.Again).Bool("restored", r.Restored)
+	case telemetry.Refused, telemetry.Holds:
+		e = e.Stringer("cause", r.Cause)
+	case telemetry.Began:
+		e = e.Uint32("endpoint", r.Endpoint).Int16("attempt", r.Attempt)
+	case telemetry.Ended:
+		e = e.Uint32("endpoint", r.Endpoint).Int16("attempt", r.Attempt).Stringer("outcome", policy.Outcome(r.Outcome)).
+			Float64("wait", r.Wait).Float64("took", r.At-r.Until)
+	case telemetry.Over:
+		e = e.Stringer("end", r.End)
+	default:
+		return
+	}
+	e.Uint64("num", r.Num).Str("record", r.Kind.String()).Send()
+}
+
 func parent(v []byte) *telemetry.Parent {
 	if len(v) == 0 {
 		return nil
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -28,6 +28,11 @@
 	Phase               // Dest, Cause: a storm's phase
 )
 
+var kindNames = [...]string{Taken: "taken", Refused: "refused", Began: "began", Ended: "ended", Over: "over", Holds: "holds", Phase: "phase", Gauge: "gauge"}
+
+// String is the kind in a word.
+func (k Kind) String() string { return kindNames[min(int(k), len(kindNames)-1)] }
+
 // Cause is why a message waits or was refused.
 type Cause uint8
 
--- a/policy/api.go
+++ b/policy/api.go
@@ -131,6 +131,11 @@
 	Moot
 )
 
+var outcomeNames = [...]string{"ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot"}
+
+// String is the outcome in a word.
+func (o Outcome) String() string { return outcomeNames[min(int(o), len(outcomeNames)-1)] }
+
 // NeverRan reports whether the outcome proves that the attempt did not run.
 func (o Outcome) NeverRan() bool { return o == Full || o == ConnectFailed || o == Moot }
 
