Many senders keep to an even part of a limit that answers report

Told limits stood in each answer all the while; messages waited for the sender's own pace (holds: pace).

Cause: policy.go refused, grow and report: with more than 8 senders a refusal cut a sender's own pace to 0.8 calls a second and by half, against an even share of 0.5 to 0.9; it grew back e-fold in 15 s, and up to the whole limit. Where the limit fell each of 80 had to be refused several times, and refused calls use the limit up.

Ruled out: uneven load (39 to 66 messages a sender in 6 s, Poisson), call slots (held by slot: under 0.3 a second).

Change: where answers report a limit and more than fewSenders share it, a sender's pace is 0.9 of an even part of the smoothed report, with up to three calls saved up. Few senders, and limits that are not reported, are as before.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -47,6 +47,10 @@
 	recoverBy   = 0.2     // but by no more than this for each call that it allows
 	paceFirst   = 0.8     // a pace of which nothing is known starts here at the first `full`
 	paceLeast   = 0.02
+	evenPart    = 0.9    // many senders keep to this part of an even share of a told limit: calls come by chance,
+	evenDepth   = 3.0    // and what of it is not used is saved up for so many calls
+	toldGain    = 0.3    // EWMA weight of a report of a limit,
+	toldNoise   = 0.3    // unless it differs by more than this part: then the limit has changed
 	starveWait  = 1200.0 // a told wait over this is a debt: refusals count there. It, or
 	starveAfter = 4      // so many refusals in a row, bring a pace to
 	starveShare = 0.8    // this times an even share of a told limit
@@ -168,6 +172,9 @@
 			s.recallEndpoint(ep)
 			if r := ep.route; s.set.Rated && r.told == 0 && l.Rating > 0 && !math.IsInf(l.Rating, 0) {
 				r.told, r.limit = l.Rating, l.Rating
+				if s.shared(r) { // many start in one moment: not each with a call saved up
+					r.limit, r.tokens.v = evenPart*s.even(r), s.rng.Float64()
+				}
 			}
 		}
 		ep.ready, ep.goneAt = l.State == Ready, 0
@@ -557,7 +564,11 @@
 	}
 	if r.limit > 0 {
 		r.limit = max(r.limit, r.cap) // what an outage has left of it counts for little beside a known limit
-		if at := r.tokens.fill(s.now, r.limit/1000, max(1, r.limit*burstFor/1000)); at > s.now {
+		depth := max(1, r.limit*burstFor/1000)
+		if s.shared(r) {
+			depth = evenDepth
+		}
+		if at := r.tokens.fill(s.now, r.limit/1000, depth); at > s.now {
 			r.bound = true
 			return at
 		}
@@ -690,7 +701,13 @@
 		if r.reported && x1 > toldJump*r.told { // a squeeze is over: the pace follows as it did when the limit fell
 			r.limit *= x1 / r.told
 		}
+		if !s.few() && r.reported && math.Abs(x1-r.told) < toldNoise*r.told {
+			x1 = r.told + toldGain*(x1-r.told)
+		}
 		r.told, r.reported = x1, true
+		if s.shared(r) {
+			r.limit = evenPart * s.even(r)
+		}
 		if r.limit == 0 || r.limit > x1 {
 			r.limit = x1
 		}
@@ -815,6 +832,7 @@
 	s.grow(r, 0)
 	even := s.even(r)
 	switch {
+	case s.shared(r): // the report that came with it says more than the refusal
 	case s.busyOn(r): // it sees enough to tell what is taken on
 		if sentAt >= r.cutAt {
 			r.cutAt = s.now
@@ -856,6 +874,12 @@
 // even is a sender's part of a told limit.
 func (s *Sender) even(r *route) float64 { return r.told / s.senders() }
 
+// shared tells whether answers report a route's limit and too many share it for each to find its part by its own calls:
+// a sender that calls once in two seconds would learn of a refusal long after the others have made up for it. All
+// keep to an even part then. Harm: what one leaves unused is lost to the others, up to 1 - evenPart and the chance
+// in who gets how many messages.
+func (s *Sender) shared(r *route) bool { return !s.few() && s.set.X1 >= 0 && r.told > 0 }
+
 // few tells whether so few send that each one's own traffic shows what a destination does.
 func (s *Sender) few() bool { return s.set.Senders <= fewSenders }
 
@@ -866,7 +890,7 @@
 
 // grow raises a pace with time and, where it held messages back, with success, up to a limit that was told.
 func (s *Sender) grow(r *route, by float64) {
-	if r.limit > 0 {
+	if r.limit > 0 && !s.shared(r) {
 		dt := s.now - r.grownAt
 		if s.busyOn(r) {
 			if r.bound && by > 0 {
--- a/policy/scale_test.go
+++ b/policy/scale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 )
 
@@ -361,3 +362,88 @@
 		})
 	}
 }
+
+// window is a destination that takes so many calls in each second, counts refused ones too and reports its limit,
+// with noise, in each answer.
+type window struct {
+	limit    float64
+	from     float64
+	seen     float64
+	ok, full int
+	noise    *rand.Rand
+}
+
+func (w *window) answer(now float64) (Outcome, []float64) {
+	if now-w.from >= 1000 {
+		w.from, w.seen = now, 0
+	}
+	w.seen++
+	report := []float64{max(0, 1-w.seen/w.limit), w.limit * (0.9 + 0.2*w.noise.Float64())}
+	if w.seen > w.limit {
+		w.full++
+		return Full, report
+	}
+	w.ok++
+	return OK, report
+}
+
+// play runs a crowd against w until a time, with messages that come by chance at this rate a second in all.
+func (c *crowd) play(to, rate float64, w *window) {
+	rng := w.noise
+	next := c.now
+	for c.now < to {
+		c.now += 10
+		for _, r := range c.all {
+			r.now = c.now
+			if r.s.armed <= c.now {
+				c.report(r, r.step(Event{Kind: EvTimer, Token: r.s.token}), w)
+			}
+		}
+		for ; next <= c.now; next += rng.ExpFloat64() * 1000 / rate {
+			r := c.all[rng.IntN(len(c.all))]
+			c.held++
+			c.report(r, r.message(c.held, clsKeyed, 0, 0), w)
+		}
+	}
+}
+
+func (c *crowd) report(r *rig, as []Action, w *window) {
+	for i := 0; i < len(as); i++ {
+		if as[i].Kind != ActSend {
+			continue
+		}
+		o, report := w.answer(c.now)
+		e := r.outcome(as[i].ID, o, 0)
+		e.Report = report
+		as = append(as, r.step(e)...)
+	}
+}
+
+// Incident join+vast: each of 80 senders cut its own pace at a refusal and grew it again with time, while the
+// destination told its limit in each answer. Where the limit fell, 4 in 10 calls of such a crowd were refused, and
+// refused calls used up what was left. Told, a limit is kept to and used: as it stands, fallen to a third, and back.
+func TestCrowdUsesAToldLimit(t *testing.T) {
+	for _, n := range []int{20, 80, 200} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			set := testSettings()
+			set.X0, set.X1, set.Rated = 0, 1, true
+			c := newCrowd(t, n, set, Endpoint{ID: 1, State: Ready, Kind: 2, Rating: 75})
+			w := &window{limit: 60, noise: rand.New(rand.NewPCG(uint64(n), 1))}
+			for _, p := range []struct {
+				name              string
+				limit, settle     float64
+				length, use, full float64
+			}{{"at first", 60, 3000, 20000, 0.7, 0.06}, {"fallen", 20, 3000, 9000, 0.7, 0.2}, {"back", 60, 4000, 15000, 0.7, 0.06}} {
+				w.limit = p.limit
+				c.play(c.now+p.settle, 60, w)
+				w.ok, w.full = 0, 0
+				c.play(c.now+p.length, 60, w)
+				used, refused := float64(w.ok)/(p.limit*p.length/1000), float64(w.full)/float64(w.ok+w.full)
+				t.Logf("%s: %.2f of the limit used, %.3f of the calls refused", p.name, used, refused)
+				if used < p.use || refused > p.full {
+					t.Errorf("%s: %.2f of the limit used, %.2f at least; %.3f of the calls refused, %.2f at most", p.name, used, p.use, refused, p.full)
+				}
+			}
+		})
+	}
+}
