Trials by what a cold destination takes, and ramps from the told limit, for many senders

Each sender's ramp began at its own first success, up to 6 s late.

Cause: policy.go open and fewPause: the first pause after a failure is 150 ms times the number of senders, 12 s for 80, drawn from 4.8 to 19 s, against outages of 5 s; only a storm's pace put it forward. rampAt: with more than 8 senders a ramp starts from the sender's own few deliveries before, not from the told limit.

The storm's pace (176 calls a second) did not bind.

Change: where many share a told limit, all trials together make up what the destination takes in its first cold moment (ColdFrom of the limit), a ramp starts from an even part of it as for few senders, and counts as begun half way between the last failure and the success, at most half of TipAfter ago.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -47,8 +47,8 @@
 	recoverBy   = 0.2     // but by no more than this for each call that it allows
 	paceFirst   = 0.8     // a pace of which nothing is known starts here at the first `full`
 	paceLeast   = 0.02
-	evenPart    = 0.9    // many senders keep to this part of an even share of a told limit: calls come by chance,
-	evenDepth   = 3.0    // and what of it is not used is saved up for so many calls
+	evenPart    = 0.9    // many senders keep to this part of an even share of a told limit, as calls come by
+	evenDepth   = 3.0    // chance, and what of it is not used is saved up for so many calls
 	toldGain    = 0.3    // EWMA weight of a report of a limit,
 	toldNoise   = 0.3    // unless it differs by more than this part: then the limit has changed
 	starveWait  = 1200.0 // a told wait over this is a debt: refusals count there. It, or
@@ -583,7 +583,7 @@
 func (s *Sender) rampAt(ep *endpoint, share float64) float64 {
 	r := ep.route
 	own := max(ep.base, baseLeast*min(1, baseFew/s.senders()), r.cap/float64(max(r.listed(), 1)))
-	if s.few() { // its part of a told limit, which is under the capacity, is safe and may be much more
+	if s.few() || s.shared(r) { // its part of a told limit, which is under the capacity, may be much more
 		sure := ratedSure
 		if r.reported {
 			sure = toldSure
@@ -732,6 +732,9 @@
 		s.grow(r, growBy)
 		if ep.state == open {
 			ep.state, ep.rampAt, ep.budget = ramping, s.now, bucket{0, s.now}
+			if s.shared(r) { // trials are far apart: it has been back for half the time since the last, on average
+				ep.rampAt -= min((s.now-ep.failAt)/2, s.set.TipAfter/2)
+			}
 			ep.failShare = 0
 			s.log("ramp", ep.dest.id, ep.id)
 		}
@@ -874,10 +877,10 @@
 // even is a sender's part of a told limit.
 func (s *Sender) even(r *route) float64 { return r.told / s.senders() }
 
-// shared tells whether answers report a route's limit and too many share it for each to find its part by its own calls:
-// a sender that calls once in two seconds would learn of a refusal long after the others have made up for it. All
-// keep to an even part then. Harm: what one leaves unused is lost to the others, up to 1 - evenPart and the chance
-// in who gets how many messages.
+// shared tells whether answers report a route's limit and too many share it for each to find its part by its
+// own calls: a sender that calls once in two seconds learns of a refusal long after the others have made up for
+// it. All keep to an even part then. Harm: what one leaves unused is lost to the others, up to 1 - evenPart and
+// the chance in who gets how many messages.
 func (s *Sender) shared(r *route) bool { return !s.few() && s.set.X1 >= 0 && r.told > 0 }
 
 // few tells whether so few send that each one's own traffic shows what a destination does.
@@ -936,12 +939,17 @@
 	}
 }
 
-// trialBy puts a trial forward where the limit is known: a share of this sender's part may go into them.
+// trialBy puts a trial forward where the limit is known: all senders' trials together stay under what the
+// destination can take in the moment that it is back.
 func (s *Sender) trialBy(r *route, at float64) float64 {
-	if r.cap <= 0 {
+	rate := capTrials * r.cap
+	if s.shared(r) {
+		rate = s.set.ColdFrom * s.even(r)
+	}
+	if rate <= 0 {
 		return at
 	}
-	return min(at, max(s.now, r.waitUntil)+s.around(max(trialLo, 1000/(capTrials*r.cap))))
+	return min(at, max(s.now, r.waitUntil)+s.around(max(trialLo, 1000/rate)))
 }
 
 // around spreads the pauses of senders that fail together: the more there are, the wider.
--- a/policy/scale_test.go
+++ b/policy/scale_test.go
@@ -366,17 +366,21 @@
 // window is a destination that takes so many calls in each second, counts refused ones too and reports its limit,
 // with noise, in each answer.
 type window struct {
-	limit    float64
-	from     float64
-	seen     float64
-	ok, full int
-	noise    *rand.Rand
+	limit      float64
+	from       float64
+	seen       float64
+	ok, full   int
+	down, back float64 // it refuses connections in between
+	noise      *rand.Rand
 }
 
 func (w *window) answer(now float64) (Outcome, []float64) {
 	if now-w.from >= 1000 {
 		w.from, w.seen = now, 0
 	}
+	if now >= w.down && now < w.back {
+		return ConnectFailed, nil
+	}
 	w.seen++
 	report := []float64{max(0, 1-w.seen/w.limit), w.limit * (0.9 + 0.2*w.noise.Float64())}
 	if w.seen > w.limit {
@@ -413,6 +417,10 @@
 			continue
 		}
 		o, report := w.answer(c.now)
+		if c.sent = append(c.sent, c.now); c.told[r] {
+			c.toldSent = append(c.toldSent, c.now)
+		}
+		c.told[r] = c.told[r] || c.tell && o != OK
 		e := r.outcome(as[i].ID, o, 0)
 		e.Report = report
 		as = append(as, r.step(e)...)
@@ -447,3 +455,34 @@
 		})
 	}
 }
+
+// Incident zone+vast: after an outage of 5 s each of 80 senders waited up to 19 s for its first trial, and came back
+// from its own small rate before, though the limit was told. A partner that is back is found soon and used up to what
+// it can take, and no more: calls by senders that knew of the outage stay under what tips it, for the least spare
+// capacity over a limit that there is (1.15), whatever the number of senders and the time that it was down.
+func TestCrowdFindsAToldPartnerBack(t *testing.T) {
+	for _, n := range []int{20, 80, 200} {
+		for _, down := range []float64{2000, 5000, 15000} {
+			t.Run(fmt.Sprint(n, " senders, down ", down), func(t *testing.T) {
+				set := testSettings()
+				set.X0, set.X1, set.Rated, set.ColdFrom, set.Cold = 0, 1, true, 0.23, 9100
+				c := newCrowd(t, n, set, Endpoint{ID: 1, State: Ready, Kind: 2, Rating: 150})
+				w := &window{limit: 150, noise: rand.New(rand.NewPCG(uint64(n), 2))}
+				const before, rate = 12000.0, 120.0
+				w.down, w.back = before, before+down
+				c.tell = true
+				c.play(w.back, rate, w)
+				c.sent, c.toldSent, w.ok, w.full, c.tell = nil, nil, 0, 0, false
+				c.play(w.back+set.Cold, rate, w)
+				c.play(w.back+set.Cold+1000, rate, w)
+				sum, told := c.push(set, w.back, 1.15*w.limit)
+				could := w.limit * (set.ColdFrom + 1) / 2 * set.Cold / 1000
+				used := count(c.sent, w.back, w.back+set.Cold) / could
+				t.Logf("calls %.2f, of senders that knew %.2f of what tips it; %.2f of what it can take till it is warm", sum, told, used)
+				if told > 1 || used < 0.6 {
+					t.Errorf("calls of senders that knew reach %.2f of what tips it, 1 at most; %.2f of what it can take is used, 0.6 at least", told, used)
+				}
+			})
+		}
+	}
+}
