The record of an ended attempt tells the allowance left and the limit that came with it

Need: a count over the fleet must show beside the calls what the partner told. No behaviour changed; unit tests pass.

--- a/internal/sender/watch.go
+++ b/internal/sender/watch.go
@@ -53,7 +53,7 @@
 		e = e.Uint32("endpoint", r.Endpoint).Int16("attempt", r.Attempt)
 	case telemetry.Ended:
 		e = e.Uint32("endpoint", r.Endpoint).Int16("attempt", r.Attempt).Stringer("outcome", policy.Outcome(r.Outcome)).
-			Float64("wait", r.Wait).Float64("took", r.At-r.Until)
+			Float64("wait", r.Wait).Float64("took", r.At-r.Until).Float64("left", r.Left).Float64("limit", r.Value)
 	case telemetry.Over:
 		e = e.Stringer("end", r.End)
 	default:
@@ -97,7 +97,15 @@
 		return
 	}
 	s.watch.Push(telemetry.Record{Kind: telemetry.Ended, Num: e.ID, Dest: int32(c.Dest), Endpoint: c.Endpoint, Attempt: int16(e.Attempt), Outcome: uint8(e.Outcome),
-		MayHaveRun: e.Outcome != policy.OK && !e.Outcome.NeverRan(), Wait: e.Wait, At: s.now, Until: s.now - max(e.Latency, 0), Text: c.Addr})
+		MayHaveRun: e.Outcome != policy.OK && !e.Outcome.NeverRan(), Wait: e.Wait, At: s.now, Until: s.now - max(e.Latency, 0), Text: c.Addr, Left: s.told(e, s.set.X0), Value: s.told(e, s.set.X1)})
+}
+
+// told is a value of the report that came with an outcome, 0 if there was none.
+func (s *Sender) told(e *policy.Event, field int) float64 {
+	if field < 0 || field >= len(e.Report) {
+		return 0
+	}
+	return e.Report[field]
 }
 
 func (s *Sender) watchOver(e *journal.Entry, end telemetry.End, after float64) {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -21,7 +21,7 @@
 	Taken   Kind = iota // Num, Dest, Class, Again, Restored, Attempt (made so far), Until, Parent, Text = its id
 	Refused             // Dest, Cause: turned away by the answer to its hand-in
 	Began               // Num, Dest, Endpoint, Attempt
-	Ended               // Num, Dest, Endpoint, Attempt, Outcome, MayHaveRun, Wait
+	Ended               // Num, Dest, Endpoint, Attempt, Outcome, MayHaveRun, Wait; Left, Value: allowance left and limit, as told
 	Over                // Num, End, Wait = when its client may come again
 	Holds               // Dest, Cause: why what it holds has been waiting since At
 	Gauge               // Name, Value
@@ -102,6 +102,7 @@
 	Until      float64
 	Wait       float64
 	Value      float64
+	Left       float64
 	Name       Name
 	Text       string
 	Parent     *Parent
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -878,7 +878,7 @@
 func (s *Sender) even(r *route) float64 { return r.told / s.senders() }
 
 // shared tells whether answers report a route's limit and too many share it for each to find its part by its
-// own calls: a sender that calls once in two seconds learns of a refusal long after the others made up for it.
+// own calls: a sender that calls once in two seconds learns of a refusal long after others made up for it.
 // All keep to an even part then. Harm: what one leaves unused is lost to the others, up to 1 - evenPart and
 // the chance in who gets how many messages.
 func (s *Sender) shared(r *route) bool { return !s.few() && s.set.X1 >= 0 && r.told > 0 }
