--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,7 +54,7 @@
 	starveWait  = 1200.0 // a told wait over this is a debt: refusals count there. It, or
 	starveAfter = 4      // so many refusals in a row, bring a pace to
 	starveShare = 0.8    // this times an even share of a told limit
-	equalsCost  = 0.1    // under all that makes endpoints differ: the weight of a sender's own order among equals
+	equalsCost  = 0.1    // weight of a sender's own order among equals, under all that makes endpoints differ
 	routeCrowd  = 10.0   // a limit of so many calls a second is shared by chance rather than by cost
 	burstFor    = 500.0  // token bucket depth, as time at the pace
 	retryLo     = 200.0  // least retry-after of a refusal, and pause before the list is asked for again
