Trials of many senders make up most of what tips; a call is saved up at the start

Cause: policy.go trialBy took the fleet's trials as ColdFrom of the limit, though a destination falls over only at TipMultiple times as much; list started each bucket at half a call on average.

Change: trials make up 0.85 of TipMultiple times ColdFrom of the limit; buckets start at one call on average.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -87,6 +87,7 @@
 	followAfter = 3000.0  // an endpoint that succeeded so lately does not follow a failed one of its route
 	trialAge    = 2.0     // senders that hold something for an outage grow with its age: so does the pause,
 	trialPer    = 600.0   // up to this times the number of senders, which is enough when all hold something
+	trialMargin = 0.85    // part of what tips a destination in its first cold moment that all trials make up
 	capTrials   = 0.2     // share of a pace from outside that trials may take
 	rampMargin  = 0.65    // share of what fail-back allows that is used; other senders ramp at their own
 	rampDepth   = 0.2     // the ramp's budget saves up this part of TipAfter
@@ -173,8 +174,8 @@
 			s.recallEndpoint(ep)
 			if r := ep.route; s.set.Rated && r.told == 0 && l.Rating > 0 && !math.IsInf(l.Rating, 0) {
 				r.told, r.limit = l.Rating, l.Rating
-				if s.shared(r) { // many start in one moment: not each with a call saved up
-					r.limit, r.tokens.v = evenPart*s.even(r), s.rng.Float64()
+				if s.shared(r) { // many start in one moment: a call is saved up by each on average, not by each
+					r.limit, r.tokens.v = evenPart*s.even(r), 2*s.rng.Float64()
 				}
 			}
 		}
@@ -943,12 +944,12 @@
 	}
 }
 
-// trialBy puts a trial forward where the limit is known: all senders' trials together stay under what the
-// destination can take in the moment that it is back.
+// trialBy puts a trial forward where the limit is known: all senders' trials together stay under what tips
+// the destination in the moment that it is back.
 func (s *Sender) trialBy(r *route, at float64) float64 {
 	rate := capTrials * r.cap
 	if s.shared(r) {
-		rate = s.set.ColdFrom * s.even(r)
+		rate = trialMargin * s.set.TipMultiple * s.set.ColdFrom * s.even(r)
 	}
 	if rate <= 0 {
 		return at
