A sender with a known list watches discovery at once, without a first pause

The senders' logs show no failed ask before that; the agent was simply not being asked. Whatever the agent holds counts as told, asked for or not.

Cause: internal/discovery/watch.go, Run: `if len(w.ids) > 0 && !pause(ctx, w.pace.first())`. A sender started with a known list waited a random pause of up to pace.most before its first watch, which is senders/15 s, capped at 5 s: with 300 senders most of them left the list unwatched for seconds after each start, and a drain told then went unseen past its 0.5 s grace.

Checked and ruled out: the move of discovery on SIGHUP (the log shows the new agent answering 0.25 s after "configuration read again", within the grace); restarts themselves (the first break comes before the first restart at 6.02 s).

Change: the first ask goes at once; it is a watch from the known version, which the agent answers from what it holds. The spread that the pause gave a fleet started in one moment now comes after a first failure before any answer (pace.spread), so a herd whose agents turn it away is still spread: the model test of 80 senders that all fail asks 113 times in its first second (bound 120). TestKnownListIsWatchedAtOnce starts ten senders of a 300-sender fleet and fails with the old pause (seed 9 asked after 2.1 s).

--- a/internal/discovery/pace.go
+++ b/internal/discovery/pace.go
@@ -36,9 +36,9 @@
 	return pace{rng: rand.New(rand.NewPCG(seed, 0xd15c)), least: max(pauseLeast, most/pauseSteps), most: most}
 }
 
-// first is how long a sender that has a list already waits before it asks: all that are started in one moment
-// would ask in one.
-func (p *pace) first() time.Duration { return time.Duration(p.rng.Float64() * float64(p.most)) }
+// spread is the pause after a first failure before any answer: all that are started in one moment fail in
+// one, and would ask again in one.
+func (p *pace) spread() time.Duration { return time.Duration(p.rng.Float64() * float64(p.most)) }
 
 // after is the pause after so many failures in a row, 1 or more.
 func (p *pace) after(failures int) time.Duration {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -73,25 +73,31 @@
 
 // Run follows the list until the context ends. Through silence it keeps asking, at the pace's times: with a
 // time-out, on a new connection, and for the whole list after a gap. An agent that turns it away leaves no gap.
+//
+// The first ask goes at once, also with a known list: whatever the agent holds counts as told, asked for or
+// not, so a pause before it is a gap in which a drain is missed. With a known list it is a watch from that
+// version, which the agent answers from what it holds. Where even that fails before any answer came, the
+// fleet started in one moment: the next ask is spread over the pace's whole span.
 func (w *Watch) Run(ctx context.Context) {
 	defer w.agent.close()
-	failed := 0
-	if len(w.ids) > 0 && !pause(ctx, w.pace.first()) {
-		return
-	}
+	failed, answered := 0, false
 	for ctx.Err() == nil {
 		err := w.once(ctx)
 		if err == nil {
 			if failed > 0 {
 				w.Log.Info().Int("tries", failed).Msg("discovery answers again")
 			}
-			failed = 0
+			failed, answered = 0, true
 			continue
 		}
 		if failed++; failed == 1 {
 			w.Log.Warn().Err(err).Msg("discovery does not answer")
 		}
-		if !pause(ctx, w.pace.after(failed)) {
+		wait := w.pace.after(failed)
+		if failed == 1 && !answered {
+			wait = w.pace.spread()
+		}
+		if !pause(ctx, wait) {
 			return
 		}
 	}
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -156,10 +156,14 @@
 	var asks []float64
 	for i := range senders {
 		p := newPace(&policy.Settings{Senders: senders, Subscribe: true, AskWithin: 10000}, uint64(i))
-		at := p.first().Seconds()
+		at := 0.0 // the first ask goes at once: a pause before it would be a gap in the watch
 		for n := 1; at < seconds; n++ {
 			asks = append(asks, at)
-			at += p.after(n).Seconds()
+			if n == 1 {
+				at += p.spread().Seconds()
+			} else {
+				at += p.after(n).Seconds()
+			}
 		}
 	}
 	sort.Float64s(asks)
@@ -174,3 +178,30 @@
 	}
 	t.Logf("asks a second: %v", perSecond)
 }
+
+// What the agent holds counts as told, asked for or not: a sender of a large fleet that starts with a known
+// list must not leave a gap before its first watch, or a drain told meanwhile goes unseen past its grace.
+func TestKnownListIsWatchedAtOnce(t *testing.T) {
+	const within = 250 * time.Millisecond // half of the tightest drain grace of the deployments
+	for seed := range uint64(10) {
+		addr, asked := agent(t, 200)
+		w := NewWatch(addr, &policy.Settings{Senders: 300}, seed, zerolog.Nop(), func(List) {})
+		if err := w.Known([]byte(fmt.Sprintf(oneEndpoint, 41))); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		began := time.Now()
+		go func() { w.Run(ctx); close(done) }()
+		select {
+		case got := <-asked:
+			if took := time.Since(began); got != "/discovery/hosts?index=41&wait=4000" || took > within {
+				t.Errorf("seed %d: first ask %s after %v", seed, got, took)
+			}
+		case <-time.After(10 * time.Second):
+			t.Errorf("seed %d: no ask", seed)
+		}
+		cancel()
+		<-done
+	}
+}
