The operators' address: ready, drain and undrain, endpoints taken out by hand

Design. internal/admin serves the address: HTTP/1.1 by our own reader, one call a connection, a whole call due 0.6 s after the accept and its answer written within 0.25 s; at most 16 callers, and where all places are held the oldest one without a whole call is cut off, so a silent crowd never keeps an operator out. internal/operate is pure: the set of endpoints taken out, their state over what discovery lists (ready becomes draining, gone stays gone), and the text form that the lasting folder keeps in `endpoints-out` for the next process. The sender owns its copy on its goroutine: a call to take out re-lists the endpoint to the module as draining and drops calls that still wait for a connection, and the yes comes after that. Intake's drain makes /up and /ready say 503, answers with Connection: close, and closes connections without a request; it still takes on what comes. Not taken: switching the module itself on a flag per endpoint. The module already has the drain's meaning and its tests in the listed state; a second flag would be a second path to the same decision, in the lines that the module does not have.

--- a/cmd/sliptide/run.go
+++ b/cmd/sliptide/run.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"sliptide/internal/admin"
 	"sliptide/internal/cli"
 	"sliptide/internal/config"
 	"sliptide/internal/discovery"
@@ -86,6 +87,11 @@
 	if err != nil {
 		return err
 	}
+	kept, err := admin.Open(fsys.OS{Dir: cfg.State})
+	if err != nil {
+		return err
+	}
+	space.Account().Claim(admin.Room)
 	ln, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("RELAY_LISTEN: %w", err)
@@ -107,7 +113,9 @@
 		Settings: cfg.Settings, Seed: cfg.Seed, Sockets: calls,
 		Journal: jr, Restored: restored, Notices: notices.Post, Memory: memory.Memory, Clock: clock, Log: log,
 		Partner: book.Of, Streams: partners.Streams, Storms: guard(cfg, op.Storms), Watch: pipe.Records(), Records: op.Log.Records,
+		Out: kept.Out(),
 	})
+	kept.Bind(snd.TakeOut)
 	listed := make(chan struct{}, 1)
 	asked := false // discovery is: what comes from here on is its word, an empty list too
 	watch := discovery.NewWatch(cfg.Discovery, &cfg.Settings, cfg.Seed, log, func(l discovery.List) {
@@ -125,9 +133,18 @@
 	}
 	asked = true
 	server := intake.New(&cfg.Settings, snd, clientRoom(sockets-calls, cfg.Limits), log)
-	go reload(ctx, hup, log, operatorFile, book, func(addr string, op *operator.File) {
-		watch.Move(addr)
-		notices.Move(addr)
+	if cfg.Admin != "" {
+		aln, err := net.Listen("tcp", cfg.Admin)
+		if err != nil {
+			return fmt.Errorf("RELAY_ADMIN: %w", err)
+		}
+		defer aln.Close()
+		calls := admin.Calls{Ready: server.Up, Disable: kept.Disable, Enable: kept.Enable, Drain: server.Drain, Undrain: server.Undrain}
+		go admin.New(calls, log).Serve(aln)
+	}
+	go reload(ctx, hup, log, operatorFile, book, func(cfg *config.Config, op *operator.File) {
+		watch.Move(cfg.Discovery)
+		notices.Move(cfg.Discovery)
 		memory.Keeper.Set(op.Knowledge)
 	})
 	if memory.Keeper != nil {
@@ -258,9 +275,10 @@
 	}
 }
 
-// reload reads the configuration again on each SIGHUP. Discovery may have moved; all
-// else takes effect at the next start. A file that makes no sense changes nothing.
-func reload(ctx context.Context, hup <-chan os.Signal, log zerolog.Logger, operatorFile string, book *partners.Book, use func(discovery string, op *operator.File)) {
+// reload reads the configuration again on each SIGHUP. Discovery may have moved, classes may have come and
+// gone, fewer attempts may be allowed; all else takes effect at the next start. A file that makes no sense
+// (empty, cut off, short of a key, a deadline or attempts not over 0) changes nothing, its discovery neither.
+func reload(ctx context.Context, hup <-chan os.Signal, log zerolog.Logger, operatorFile string, book *partners.Book, use func(cfg *config.Config, op *operator.File)) {
 	daily := time.NewTicker(24 * time.Hour) // keys too: a certificate ends without anybody's doing
 	defer daily.Stop()
 	for {
@@ -283,7 +301,7 @@
 		}
 		warn(log, warnings)
 		log.Info().Str("discovery", cfg.Discovery).Msg("configuration read again")
-		use(cfg.Discovery, op)
+		use(cfg, op)
 	}
 }
 
--- /dev/null
+++ b/internal/admin/kept.go
@@ -0,0 +1,96 @@
+package admin
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"sync"
+
+	"sliptide/internal/fsys"
+	"sliptide/internal/operate"
+	"sliptide/internal/statedir"
+)
+
+// The file of endpoints taken out, and its copy while it is replaced.
+const (
+	outName = "endpoints-out"
+	outCopy = "endpoints-out.new"
+)
+
+// Room is what the file and its copy may take of the lasting folder.
+var Room = 2 * statedir.Blocks(int64(operate.MaxText))
+
+// Kept is the set of endpoints taken out, kept in the lasting folder so that a later process, or one
+// that starts beside this one in an upgrade, holds to it. Its calls are safe for concurrent use.
+type Kept struct {
+	mu    sync.Mutex
+	files fsys.FS
+	out   operate.Out
+	apply func(id string, out bool) error // tells the sender; its error is a no
+}
+
+// Open reads what an earlier process kept. A file that cannot be read is an error: an endpoint that an
+// operator took out must not serve again by chance.
+func Open(files fsys.FS) (*Kept, error) {
+	text, err := files.Read(outName)
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, fmt.Errorf("state folder: %s: %w", outName, err)
+	}
+	out, err := operate.Parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("state folder: %s: %w", outName, err)
+	}
+	return &Kept{files: files, out: out}, nil
+}
+
+// Out is a copy of the set.
+func (k *Kept) Out() operate.Out {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.out.Clone()
+}
+
+// Reread takes the file again, as another process may have written it; it returns the set.
+func (k *Kept) Reread() (operate.Out, error) {
+	text, err := k.files.Read(outName)
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return k.Out(), err
+	}
+	out, err := operate.Parse(text)
+	if err != nil {
+		return k.Out(), err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.out = out
+	return out.Clone(), nil
+}
+
+// Bind sets what tells the sender of each change.
+func (k *Kept) Bind(apply func(id string, out bool) error) { k.apply = apply }
+
+// Disable takes an endpoint out.
+func (k *Kept) Disable(id string) error { return k.set(id, true) }
+
+// Enable puts it back.
+func (k *Kept) Enable(id string) error { return k.set(id, false) }
+
+func (k *Kept) set(id string, out bool) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	next := k.out.Clone()
+	if err := next.Set(id, out); err != nil {
+		return err
+	}
+	if err := k.apply(id, out); err != nil {
+		return err
+	}
+	k.out = next
+	if err := k.files.Write(outCopy, next.Text(), false); err != nil {
+		return fmt.Errorf("in force, but not kept for the next process: %w", err)
+	}
+	if err := k.files.Rename(outCopy, outName); err != nil {
+		return fmt.Errorf("in force, but not kept for the next process: %w", err)
+	}
+	return nil
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -26,6 +26,7 @@
 	Name      string
 	Listen    string // host:port, for clients
 	Discovery string // host:port
+	Admin     string // host:port of the operators' address; empty: there is none
 	State     string // the folder that lasts
 	Seed      uint64
 	Limits    Limits
@@ -61,7 +62,7 @@
 		to    *string
 	}{
 		{getenv("RELAY_NAME"), &c.Name}, {getenv("RELAY_LISTEN"), &c.Listen},
-		{getenv("RELAY_STATE"), &c.State}, {discovery, &c.Discovery},
+		{getenv("RELAY_STATE"), &c.State}, {discovery, &c.Discovery}, {getenv("RELAY_ADMIN"), &c.Admin},
 	} {
 		if f.value != "" {
 			*f.to = f.value
@@ -77,7 +78,7 @@
 		return nil, err
 	}
 	str := func(key string) string { return string(v.GetStringBytes(key)) }
-	c := &Config{Name: str("name"), Listen: str("listen"), Discovery: str("discovery"), State: str("state")}
+	c := &Config{Name: str("name"), Listen: str("listen"), Discovery: str("discovery"), Admin: str("admin"), State: str("state")}
 	if c.Seed, err = strconv.ParseUint(str("seed"), 16, 64); err != nil {
 		return nil, fmt.Errorf("seed: %w", err)
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -34,7 +34,10 @@
 	lingerFor   = 200 * time.Millisecond
 	patience    = 400 * time.Millisecond // how long a client waits for its answer
 	acceptPause = 5 * time.Millisecond
-	headroom    = 16 // places that are kept free where there are many
+	headroom    = 16                     // places that are kept free where there are many
+	awayEvery   = 50 * time.Millisecond  // while clients are sent away, connections are looked at so often;
+	awaySilent  = 200 * time.Millisecond // a new one that says nothing for so long is closed,
+	awayReading = time.Second            // and one whose request has not come whole in so long
 )
 
 // Server accepts clients' connections.
@@ -44,7 +47,8 @@
 	log   zerolog.Logger
 	room  chan struct{} // one token for each connection
 	ready atomic.Bool
-	stop  atomic.Bool // nothing more is taken on
+	stop  atomic.Bool   // nothing more is taken on
+	away  atomic.Uint64 // odd while clients are sent away by hand: the number of that drain
 	wg    sync.WaitGroup
 
 	relieved time.Time // of makeRoom alone
@@ -88,6 +92,51 @@
 // Ready makes /up answer 200.
 func (s *Server) Ready() { s.ready.Store(true) }
 
+// Up reports whether this process takes clients: it is ready, and neither stops nor sends them away.
+func (s *Server) Up() bool { return s.ready.Load() && !s.stop.Load() && s.away.Load()%2 == 0 }
+
+// Drain sends clients away, as an operator asks: /up answers 503, so that the front sends no more, each
+// answer closes its connection, and connections without a request are closed. What comes meanwhile is
+// still taken on: the front goes on sending for a while, and a client's kept connection until it closes.
+func (s *Server) Drain() {
+	for {
+		n := s.away.Load()
+		if n%2 == 1 {
+			return
+		}
+		if s.away.CompareAndSwap(n, n+1) {
+			go s.sendAway(n + 1)
+			return
+		}
+	}
+}
+
+// Undrain takes clients again.
+func (s *Server) Undrain() {
+	for {
+		n := s.away.Load()
+		if n%2 == 0 || s.away.CompareAndSwap(n, n+1) {
+			return
+		}
+	}
+}
+
+// sendAway closes connections that carry no request while that drain lasts: idle ones at once, a silent
+// new one once its client has had time to write, one whose request does not come whole after a while.
+func (s *Server) sendAway(drain uint64) {
+	for s.away.Load() == drain {
+		s.mu.Lock()
+		for c := range s.conns {
+			c.askToClose(once, 0)
+			c.askToClose(idle, 0)
+			c.askToClose(silent, awaySilent)
+			c.askToClose(reading, awayReading)
+		}
+		s.mu.Unlock()
+		time.Sleep(awayEvery)
+	}
+}
+
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(ln net.Listener) {
 	for {
@@ -255,7 +304,7 @@
 	if r.num != 0 {
 		c.had++
 	}
-	keep := !m.Close && !s.stop.Load() && !r.close
+	keep := !m.Close && !s.stop.Load() && s.away.Load()%2 == 0 && !r.close
 	if err := c.answer(&r, keep); err != nil {
 		s.unheard(&r)
 		return false
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"math"
 	"slices"
 	"time"
@@ -14,6 +15,7 @@
 	"sliptide/internal/discovery"
 	"sliptide/internal/http1"
 	"sliptide/internal/journal"
+	"sliptide/internal/operate"
 	"sliptide/internal/outbound"
 	"sliptide/internal/storm"
 	"sliptide/internal/telemetry"
@@ -33,6 +35,9 @@
 	lateLeast = 1000.0                  // retry-after where there is no room, in milliseconds
 )
 
+// errStopped is the error of an order that came after the sender left.
+var errStopped = errors.New("the sender has stopped")
+
 // Message is one message that a client hands in, whatever protocol it came by.
 // Its fields may be slices of the buffer that it was read into: they are copied
 // when the sender takes it on.
@@ -65,9 +70,17 @@
 	list   *discovery.List
 	told   []uint64 // messages whose notice was taken
 	gone   uint64   // message that its client never heard was taken on
+	out    *outOrder
 	stop   bool
 }
 
+// outOrder takes an endpoint out by hand, or puts it back.
+type outOrder struct {
+	id   string
+	out  bool
+	done chan error
+}
+
 type order struct {
 	msg      *Message
 	received time.Time
@@ -118,6 +131,7 @@
 	Storms  *storm.Guard        // nil: storms are not damped
 	Watch   *telemetry.Recorder // nil: nobody watches
 	Records bool                // a line in the log for each thing that happens to a message
+	Out     operate.Out         // endpoints taken out by hand, which count as draining
 	Log     zerolog.Logger
 }
 
@@ -140,10 +154,12 @@
 
 	msgs    map[uint64]*message // taken on and not over, and not waiting for a notice
 	traces  map[string]uint64
-	past    past                      // ids of messages that were taken on and are over
-	dests   map[int]bool              // that have been listed
-	owed    map[uint64]*journal.Entry // whose notice is not taken yet
-	addrs   map[uint32]discovery.Endpoint
+	past    past                          // ids of messages that were taken on and are over
+	dests   map[int]bool                  // that have been listed
+	owed    map[uint64]*journal.Entry     // whose notice is not taken yet
+	addrs   map[uint32]discovery.Endpoint // as listed, without what was said by hand
+	names   map[string]uint32             // every endpoint that a list has named
+	out     operate.Out
 	partner func(dest int) *outbound.Partner
 	streams int
 	calls   map[*outbound.Call]bool // out
@@ -186,6 +202,8 @@
 		dests:  map[int]bool{},
 		owed:   map[uint64]*journal.Entry{},
 		addrs:  map[uint32]discovery.Endpoint{},
+		names:  map[string]uint32{},
+		out:    o.Out.Clone(),
 		calls:  map[*outbound.Call]bool{},
 		timer:  time.NewTimer(time.Hour),
 	}
@@ -274,6 +292,19 @@
 // Told takes the numbers of messages whose notice was taken.
 func (s *Sender) Told(nums []uint64) { s.post(input{told: nums}) }
 
+// TakeOut takes an endpoint out by hand (out) or puts it back. It returns once the module holds to it:
+// nothing new goes there from then on. An endpoint that no list has named is operate.ErrNeverListed.
+func (s *Sender) TakeOut(id string, out bool) error {
+	o := &outOrder{id: id, out: out, done: make(chan error, 1)}
+	s.post(input{out: o})
+	select {
+	case err := <-o.done:
+		return err
+	case <-s.done:
+		return errStopped
+	}
+}
+
 // Stop makes the sender take on nothing more, let its calls end, and leave.
 func (s *Sender) Stop() { s.post(input{stop: true}) }
 
@@ -353,6 +384,8 @@
 			s.journal.End(m.Entry)
 			s.forget(m)
 		}
+	case in.out != nil:
+		in.out.done <- s.takeOut(in.out)
 	case in.stop:
 		if s.stopAt.IsZero() {
 			s.stopAt = time.Now()
@@ -457,11 +490,32 @@
 	}
 }
 
+// takeOut carries out an order by hand: the module hears of the endpoint as if listed anew.
+func (s *Sender) takeOut(o *outOrder) error {
+	id, named := s.names[o.id]
+	if !named && !s.out.Has(o.id) { // one taken out in an earlier life may not be listed yet
+		return operate.ErrNeverListed
+	}
+	if err := s.out.Set(o.id, o.out); err != nil {
+		return err
+	}
+	s.log.Info().Str("endpoint", o.id).Bool("out", o.out).Msg("endpoint taken out by hand, or put back")
+	if e, listed := s.addrs[id]; named && listed {
+		s.takeList(&discovery.List{Entries: []discovery.Endpoint{e}})
+	}
+	return nil
+}
+
 func (s *Sender) takeList(l *discovery.List) {
 	s.recall(l)
 	ev := policy.Event{Kind: policy.EvList, FullList: l.Full}
 	listed := make(map[uint32]bool, len(l.Entries))
 	for _, e := range l.Entries {
+		s.names[e.Name] = e.ID
+		if e.State != policy.Gone {
+			s.addrs[e.ID] = e
+		}
+		e.State = s.out.State(e.Name, e.State)
 		if s.partner != nil {
 			if p := s.partner(e.Dest); p != nil && p.HTTP2 {
 				e.Endpoint.Streams = s.streams
@@ -470,7 +524,6 @@
 		ev.List = append(ev.List, e.Endpoint)
 		listed[e.ID] = e.State == policy.Ready
 		if e.State != policy.Gone {
-			s.addrs[e.ID] = e
 			if len(s.dests) < maxDests {
 				s.dests[e.Dest] = true
 			}
