Settings read anew on SIGHUP: classes come and go, fewer attempts; broken files change nothing

A probe that logged each file read at SIGHUP showed why: the files bring classes that the sender did not know (booking-msg-ii, then booking-msg-x, ...), which intake answered with 400, a failure; and the second file, with a class whose deadline is -5, was taken, moving discovery to an address where nobody answers: the log shows 84 failed asks until the next file moved it back. Ruled out: the drain (no rule broken, and the loss starts at the retune at 4.55 s, not at the drain at 10 s).

Design. config.readSettings now refuses settings that make no sense, with key, value and what is allowed: a deadline or aim not over 0, attempts or call slots not over 0, a batch of 0 or of more than a body can carry, two classes of one name, none at all; reload then keeps the old file whole, its discovery too. Intake maps names through the table (an atomic pointer, shared). The module gets EvSettings: its classes and MaxAttempts, which hold for all messages from then on (policy.go +2 lines, the rest in state.go's bookkeeping). Not taken: applying only the file's present classes by position. Positions would shift under the messages that are held, and the latencies learnt by class would go to another class.

--- a/cmd/sliptide/admin_test.go
+++ b/cmd/sliptide/admin_test.go
@@ -141,3 +141,61 @@
 	for q := ""; !strings.Contains(q, want); q = next(r.t, r.watches, "a watch from "+want) {
 	}
 }
+
+// handInClass hands in a message of a class and returns the status.
+func (r *rig) handInClass(id, class string) int {
+	r.t.Helper()
+	q, _ := http.NewRequest("POST", "http://"+r.addr+"/api", strings.NewReader("x"))
+	for k, v := range map[string]string{"X-Trace-Id": id, "X-Qos": class, "X-Customer": "acme", "Idempotency-Key": "key-" + id,
+		"X-Expires-In": "15", "X-Route-To": "dest=0"} {
+		q.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(q)
+	if err != nil {
+		r.t.Fatalf("message %s: %v", id, err)
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// Settings read on SIGHUP: a broken file changes nothing, its discovery neither; a good one brings a class
+// at once and allows fewer attempts, for a message under way too.
+func TestRetune(t *testing.T) {
+	r := newRig(t, nil, "one")
+	settings := r.config["settings"].(map[string]any)
+	note := settings["services"].([]any)[0].(map[string]any)
+	r.take("held", 0, 15, "")
+	first := r.callFor("held")
+	broken := map[string]any{}
+	for k, v := range note {
+		broken[k] = v
+	}
+	broken["deadline"] = -5
+	good := r.config["discovery"]
+	settings["services"] = []any{note, broken}
+	r.config["discovery"] = "127.0.0.1:9"
+	r.configure()
+	r.proc.Process.Signal(syscall.SIGHUP)
+	r.awaitLog("the new configuration is of no use")
+	r.config["discovery"] = good
+	if status := r.handInClass("early", "urgent"); status != 400 {
+		t.Errorf("a class of a broken file: %d", status)
+	}
+	urgent := map[string]any{"name": "urgent", "aim": 1000, "deadline": 5000, "effect": "unsafe", "worth": 2, "late_worth": 0.4}
+	settings["services"] = []any{note, urgent}
+	settings["limits"].(map[string]any)["max_attempts"] = 2
+	r.configure()
+	r.proc.Process.Signal(syscall.SIGHUP)
+	r.awaitLog("settings read anew")
+	if status := r.handInClass("new", "urgent"); status != 202 {
+		t.Errorf("a class of the new file: %d", status)
+	}
+	r.callFor("new").status(200)
+	first.status(500) // its first attempt; the second is its last now
+	r.callFor("held").status(500)
+	if n := r.notice(); n.Message != "held" {
+		t.Errorf("notice %+v", n)
+	}
+	r.change(func() {}) // discovery is still the one that the broken file did not move
+	next(t, r.watches, "a watch")
+}
--- a/cmd/sliptide/run.go
+++ b/cmd/sliptide/run.go
@@ -146,6 +146,7 @@
 		watch.Move(cfg.Discovery)
 		notices.Move(cfg.Discovery)
 		memory.Keeper.Set(op.Knowledge)
+		snd.Retune(cfg.Settings)
 	})
 	if memory.Keeper != nil {
 		go memory.Keeper.Run()
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -67,7 +68,11 @@
 			s.X1 = i
 		}
 	}
-	for i := range p.count("services.count", need) {
+	classes := p.count("services.count", need)
+	if classes == 0 && p.err == nil {
+		p.fail("services", fmt.Errorf("no class is defined; allowed: one or more"))
+	}
+	for i := range classes {
 		at := fmt.Sprintf("services.%d.", i)
 		c := policy.Class{
 			Name:       p.m[at+"name"],
@@ -79,6 +84,11 @@
 			ByArrival:  p.flag(at + "by_arrival"),
 		}
 		c.Aim = p.float(at+"aim", c.Deadline)
+		p.over(at+"deadline", c.Deadline, 0, "a time in milliseconds over 0")
+		p.over(at+"aim", c.Aim, 0, "a time in milliseconds over 0")
+		if slices.ContainsFunc(s.Classes, func(o policy.Class) bool { return o.Name == c.Name }) {
+			p.fail(at+"name", fmt.Errorf("%q: allowed: a name that no other class has", c.Name))
+		}
 		switch e := p.m[at+"effect"]; e {
 		case "safe":
 			c.Effect = policy.Safe
@@ -107,8 +117,8 @@
 		}
 		if i < len(batch) {
 			n, err := strconv.Atoi(batch[i])
-			if err != nil {
-				p.fail("family_info.kind_batch", err)
+			if err != nil || n < 1 || n > maxBatch {
+				p.fail(fmt.Sprintf("family_info.kind_batch.%d", i), fmt.Errorf("%q: allowed: a whole number of messages in one call, 1 to %d", batch[i], maxBatch))
 			}
 			k.Batch = max(n, 1)
 		}
@@ -121,9 +131,14 @@
 		}
 		s.Tolls = append(s.Tolls, toll)
 	}
+	p.over("limits.max_attempts", float64(s.MaxAttempts), 0, "a whole number over 0")
+	p.over("family_info.call_slots", float64(s.CallSlots), 0, "a whole number over 0")
 	return s, p.err
 }
 
+// maxBatch bounds the messages of one call that a kind may allow: what one body of 64 KiB can carry.
+const maxBatch = 1000
+
 // need marks a setting that has no default.
 const need = -1
 
@@ -173,6 +188,13 @@
 	return n
 }
 
+// over fails where v is not over least, saying what is allowed.
+func (p *pairs) over(key string, v, least float64, allowed string) {
+	if !(v > least) && p.err == nil {
+		p.fail(key, fmt.Errorf("%v is not allowed; allowed: %s", v, allowed))
+	}
+}
+
 func (p *pairs) flag(key string) bool { return p.m[key] == "true" }
 
 func (p *pairs) list(key string) []string {
--- a/internal/intake/api.go
+++ b/internal/intake/api.go
@@ -66,13 +66,14 @@
 	if !fits(msg.Trace) || len(msg.Trace) == 0 {
 		return msg, "X-Trace-Id"
 	}
-	if msg.Class = s.class(h.Get("X-Qos")); msg.Class < 0 {
+	class := policy.Class{}
+	if msg.Class, class = s.snd.ClassOf(h.Get("X-Qos")); msg.Class < 0 {
 		return msg, "X-Qos"
 	}
 	if msg.Tenant = s.tenant(h.Get("X-Customer")); msg.Tenant < 0 {
 		return msg, "X-Customer"
 	}
-	keyed := s.set.Classes[msg.Class].Effect == policy.Keyed
+	keyed := class.Effect == policy.Keyed
 	if !fits(msg.Key) || keyed && len(msg.Key) == 0 {
 		return msg, "Idempotency-Key"
 	}
@@ -104,15 +105,6 @@
 // fits reports whether an id or key can be passed on as it is.
 func fits(b []byte) bool { return len(b) <= maxID && http1.Clean(b) }
 
-func (s *Server) class(name []byte) int {
-	for i := range s.set.Classes {
-		if s.set.Classes[i].Name == string(name) {
-			return i
-		}
-	}
-	return -1
-}
-
 // tenant is the position of a tenant, 0 where the settings have none.
 func (s *Server) tenant(name []byte) int {
 	for i := range s.set.Tenants {
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -8,6 +8,7 @@
 	"errors"
 	"math"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -71,6 +72,7 @@
 	told   []uint64 // messages whose notice was taken
 	gone   uint64   // message that its client never heard was taken on
 	out    *outOrder
+	retune *policy.Settings
 	stop   bool
 }
 
@@ -160,6 +162,7 @@
 	addrs   map[uint32]discovery.Endpoint // as listed, without what was said by hand
 	names   map[string]uint32             // every endpoint that a list has named
 	out     operate.Out
+	classes atomic.Pointer[classTable] // shared with intake
 	partner func(dest int) *outbound.Partner
 	streams int
 	calls   map[*outbound.Call]bool // out
@@ -207,6 +210,8 @@
 		calls:  map[*outbound.Call]bool{},
 		timer:  time.NewTimer(time.Hour),
 	}
+	s.classes.Store(newClassTable(o.Settings.Classes))
+	s.set.Classes = s.classes.Load().all
 	s.pool = outbound.NewPool(outbound.Options{
 		MaxConns:    o.Sockets,
 		KeepAlive:   or(millis(o.Settings.KeepAlive), 30*time.Second),
@@ -241,7 +246,7 @@
 
 // restore takes up a message of an earlier life.
 func (s *Sender) restore(e *journal.Entry) {
-	class := slices.IndexFunc(s.set.Classes, func(c policy.Class) bool { return c.Name == e.Class })
+	class, _ := s.ClassOf([]byte(e.Class))
 	left := float64(e.Deadline) - s.now
 	switch {
 	case e.Ending != journal.NotEnding: // the module had decided; its notice may not have been taken
@@ -386,6 +391,8 @@
 		}
 	case in.out != nil:
 		in.out.done <- s.takeOut(in.out)
+	case in.retune != nil:
+		s.takeRetune(in.retune)
 	case in.stop:
 		if s.stopAt.IsZero() {
 			s.stopAt = time.Now()
--- a/policy/api.go
+++ b/policy/api.go
@@ -114,6 +114,7 @@
 	EvProbe                      // Endpoint, Outcome, Latency, Report
 	EvFacts                      // Facts, of an earlier life, on what lists of this same step name for the first time
 	EvPace                       // Dest, or Endpoint of one with a limit of its own; Pace, which caps what goes there
+	EvSettings                   // Settings read anew: Classes, a list that only grows, and MaxAttempts
 )
 
 // Outcome tells how an attempt ended.
@@ -167,6 +168,7 @@
 	Failed   bool
 	Facts    []DestFacts
 	Pace     float64 // calls a second; 0 = no longer
+	Settings *Settings
 }
 
 // ActionKind tells the actions apart.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -119,6 +119,8 @@
 			s.recall(e.Facts)
 		case EvPace:
 			s.cap(e)
+		case EvSettings:
+			s.retune(e.Settings)
 		case EvMessage:
 			s.take(e)
 		case EvOutcome:
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"reflect"
+	"slices"
 	"testing"
 )
 
@@ -799,3 +800,25 @@
 		t.Errorf("%d of %d senders call in the moment in which they were given a pace", atOnce, senders)
 	}
 }
+
+// Settings read anew: a new class is taken at once, a message under way keeps its own class, and fewer
+// attempts hold for it as well.
+func TestRetune(t *testing.T) {
+	set := testSettings()
+	r := newRig(t, set, ready(1, 0, 2))
+	r.message(1, clsSafe, 0, 0)
+	r.reply(1, Error, 0)
+	r.run(r.now + 1000) // its second attempt is out
+	if r.attempts[1] != 2 {
+		t.Fatalf("%d attempts", r.attempts[1])
+	}
+	next := set
+	next.Classes = append(slices.Clone(set.Classes), Class{Name: "new", Aim: 500, Deadline: 5000, Worth: 2, Effect: Unsafe})
+	next.MaxAttempts = 2
+	r.step(Event{Kind: EvSettings, Settings: &next})
+	r.must(r.message(2, len(next.Classes)-1, 0, 0), ActSend, 2, "a message of the new class")
+	r.must(r.reply(1, Error, 0), ActRefuse, 1, "its attempts are used up under the new settings")
+	if m := r.s.msgs[2]; m == nil || m.class.Effect != Unsafe || r.s.aim != 500 {
+		t.Fatalf("the new class is not in force: %+v, aim %v", m, r.s.aim)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -347,21 +347,31 @@
 		eps:      map[uint32]*endpoint{},
 		keys:     map[uint64]*keyQueue{},
 		dials:    make([]dials, max(len(set.Kinds), 1)),
-		usual:    make([]latency, len(set.Classes)),
 		armed:    math.Inf(1),
 		askAt:    math.Inf(1),
 		logAt:    math.Inf(-1),
 		staleGap: math.Inf(1),
 	}
+	s.retune(&set)
+	if set.Subscribe {
+		s.askAt = math.Inf(-1)
+	}
+	return s
+}
+
+// retune takes settings read anew. Classes only grow, so that a message under way keeps its class and its
+// position; the attempts allowed hold for all from here on.
+func (s *Sender) retune(set *Settings) {
+	s.set.Classes, s.set.MaxAttempts = set.Classes, set.MaxAttempts
+	for len(s.usual) < len(set.Classes) {
+		s.usual = append(s.usual, latency{})
+	}
+	s.aim = math.Inf(1)
 	for _, c := range set.Classes {
 		if c.Aim > 0 {
 			s.aim = min(s.aim, c.Aim)
 		}
 	}
-	if set.Subscribe {
-		s.askAt = math.Inf(-1)
-	}
-	return s
 }
 
 // account books the waiting time of d up to now.
