Upgrades under load: a new version listens beside the old and takes over when it leaves

A process that finds the folder held by the same sender on the same address (the lock file now notes its holder's address) takes the heir's place (lock.heir, one at most). The old one, on SIGTERM with an heir waiting, closes its address at once, answers its clients (taking on what they hand in) and closes their connections, begins no further call and leaves when its calls out have ended. Each process follows the file of endpoints taken out every 0.1 s, so a call by hand to either binds both. Not taken: both sending side by side and sharing what they learn through the folder.

--- a/cmd/sliptide/run.go
+++ b/cmd/sliptide/run.go
@@ -39,7 +39,6 @@
 	leaveBy     = 3200 * time.Millisecond
 	knowBy      = 200 * time.Millisecond // the last snapshot may take so long,
 	telemetryBy = 200 * time.Millisecond // and the last traces
-	lockFor     = 5 * time.Second        // a predecessor in the state folder is waited for so long
 	spareFiles  = 32                     // descriptors that are no clients' or endpoints' connections
 
 	// Connections to endpoints: several for each call that may be out, and some that stand idle.
@@ -73,17 +72,16 @@
 		return fmt.Errorf("%w: %w", cli.ErrConfig, err)
 	}
 	warn(log, warnings)
-	lock, err := statedir.Lock(cfg.State, lockFor)
+	place, err := takePlace(cfg.State, cfg.Listen)
 	if err != nil {
 		return err
 	}
-	defer lock.Unlock()
+	defer place.release()
 	space := statedir.NewSpace(cfg.Limits.DiskBytes)
 	clock := sender.NewClock()
-	memory := openMemory(cfg, op.Knowledge, space, clock, log)
 	room := space.Account()
-	memory.room.YieldTo(room)
-	jr, restored, err := journal.Open(cfg.State, room)
+	memory := &memoryBox{}
+	jr, restored, err := openJournal(cfg, op, place, space, room, clock, memory, log)
 	if err != nil {
 		return err
 	}
@@ -92,7 +90,7 @@
 		return err
 	}
 	space.Account().Claim(admin.Room)
-	ln, err := net.Listen("tcp", cfg.Listen)
+	ln, err := listen(cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("RELAY_LISTEN: %w", err)
 	}
@@ -111,11 +109,12 @@
 	}
 	snd = sender.New(sender.Options{
 		Settings: cfg.Settings, Seed: cfg.Seed, Sockets: calls,
-		Journal: jr, Restored: restored, Notices: notices.Post, Memory: memory.Memory, Clock: clock, Log: log,
+		Journal: jr, Restored: restored, Notices: notices.Post, Memory: memory.get().Memory, Clock: clock, Log: log,
 		Partner: book.Of, Streams: partners.Streams, Storms: guard(cfg, op.Storms), Watch: pipe.Records(), Records: op.Log.Records,
-		Out: kept.Out(),
+		Out: kept.Out(), Heir: place.waiting(),
 	})
 	kept.Bind(snd.TakeOut)
+	go kept.Follow(ctx, snd.Follow, log)
 	listed := make(chan struct{}, 1)
 	asked := false // discovery is: what comes from here on is its word, an empty list too
 	watch := discovery.NewWatch(cfg.Discovery, &cfg.Settings, cfg.Seed, log, func(l discovery.List) {
@@ -145,11 +144,15 @@
 	go reload(ctx, hup, log, operatorFile, book, func(cfg *config.Config, op *operator.File) {
 		watch.Move(cfg.Discovery)
 		notices.Move(cfg.Discovery)
-		memory.Keeper.Set(op.Knowledge)
+		memory.get().Keeper.Set(op.Knowledge)
 		snd.Retune(cfg.Settings)
 	})
-	if memory.Keeper != nil {
-		go memory.Keeper.Run()
+	if k := memory.get().Keeper; k != nil {
+		go k.Run()
+	}
+	if place.waiting() {
+		h := &heir{place: place, cfg: cfg, op: op, space: space, room: room, clock: clock, log: log, snd: snd, kept: kept, memory: memory}
+		go h.takeOver()
 	}
 	go snd.Run()
 	go notices.Run(ctx)
@@ -169,8 +172,14 @@
 		<-stop
 	case <-stop:
 	}
-	shutdown(server, snd, ln)
-	memory.close()
+	if !place.waiting() && statedir.HeirWaits(cfg.State) {
+		log.Info().Msg("a new version waits: handing over")
+		handOver(server, snd, ln)
+	} else {
+		shutdown(server, snd, ln)
+	}
+	m := memory.get()
+	m.close()
 	closeTelemetry(pipe)
 	if err := jr.Close(); err != nil {
 		return err
@@ -179,6 +188,21 @@
 	return nil
 }
 
+// openJournal opens the journal, and what the sender knows over restarts. An heir starts a journal of its
+// own and knows nothing yet: the version before still writes both.
+func openJournal(cfg *config.Config, op *operator.File, place *place, space *statedir.Space, room *statedir.Account,
+	clock sender.Clock, box *memoryBox, log zerolog.Logger) (*journal.Journal, []*journal.Entry, error) {
+	if place.waiting() {
+		log.Info().Msg("another process holds the state folder: starting beside it, to take over when it leaves")
+		jr, err := journal.OpenHeir(cfg.State, room)
+		return jr, nil, err
+	}
+	m := openMemory(cfg, op.Knowledge, space, clock, log)
+	m.room.YieldTo(room)
+	box.set(m)
+	return journal.Open(cfg.State, room)
+}
+
 // openTelemetry starts the way to a collector, nil where the part is off.
 func openTelemetry(cfg *config.Config, set operator.Telemetry, clock sender.Clock, log zerolog.Logger) (*otlp.Pipe, error) {
 	if !set.Enabled {
--- a/internal/admin/kept.go
+++ b/internal/admin/kept.go
@@ -1,10 +1,14 @@
 package admin
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io/fs"
 	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
 
 	"sliptide/internal/fsys"
 	"sliptide/internal/operate"
@@ -69,6 +73,51 @@
 // Bind sets what tells the sender of each change.
 func (k *Kept) Bind(apply func(id string, out bool) error) { k.apply = apply }
 
+// FollowEvery is how often Follow looks at the file.
+const FollowEvery = 100 * time.Millisecond
+
+// Follow takes what another process of this sender writes into the file, until ctx ends: in an upgrade the
+// old and the new version run side by side, and an operator may call either. follow tells the sender of
+// each change; an id that this process has not seen listed is taken too.
+func (k *Kept) Follow(ctx context.Context, follow func(id string, out bool) error, log zerolog.Logger) {
+	tick := time.NewTicker(FollowEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if err := k.follow(follow); err != nil {
+			log.Warn().Err(err).Msg("admin: endpoints taken out: the file cannot be read")
+		}
+	}
+}
+
+func (k *Kept) follow(follow func(id string, out bool) error) error {
+	text, err := k.files.Read(outName)
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	now, err := operate.Parse(text)
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, id := range now.IDs() {
+		if !k.out.Has(id) && follow(id, true) == nil {
+			k.out.Set(id, true)
+		}
+	}
+	for _, id := range k.out.IDs() {
+		if !now.Has(id) && follow(id, false) == nil {
+			k.out.Set(id, false)
+		}
+	}
+	return nil
+}
+
 // Disable takes an endpoint out.
 func (k *Kept) Disable(id string) error { return k.set(id, true) }
 
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -60,7 +60,8 @@
 
 const (
 	fileName = "journal"
-	copyName = "journal.new"
+	heirName = "journal.heir" // of a new version started beside the present one, until it takes over
+	copyEnd  = ".new"         // a compacted copy is the file's name with this
 	headSize = 8
 	block    = 512
 	// What a live entry may still write before the file is compacted: a start, an outcome
@@ -75,6 +76,7 @@
 // Journal is an open journal.
 type Journal struct {
 	dir  string
+	name string            // of the file
 	room *statedir.Account // what all files may take
 	f    *os.File
 	size int64 // of the file
@@ -87,28 +89,91 @@
 // Open replays the journal in dir and compacts it. It returns the live entries
 // in the order in which they were taken. A torn or damaged tail is left out: it
 // was never answered for.
+//
+// A journal that a new version left beside it, and did not take over, is taken in too: first, since where
+// it did take over, the journal holds what came after.
 func Open(dir string, room *statedir.Account) (*Journal, []*Entry, error) {
-	j := &Journal{dir: dir, room: room, live: map[uint64]*Entry{}, next: 1}
-	// A copy that was not finished when the process died; the journal itself is whole.
-	if err := os.Remove(j.path(copyName)); err != nil && !errors.Is(err, os.ErrNotExist) {
-		return nil, nil, fmt.Errorf("journal: %w", err)
+	j := &Journal{dir: dir, name: fileName, room: room, live: map[uint64]*Entry{}, next: 1}
+	// Copies that were not finished when the process died; the journals themselves are whole.
+	for _, name := range []string{fileName + copyEnd, heirName + copyEnd} {
+		if err := os.Remove(j.path(name)); err != nil && !errors.Is(err, os.ErrNotExist) {
+			return nil, nil, fmt.Errorf("journal: %w", err)
+		}
 	}
-	text, err := os.ReadFile(j.path(fileName))
-	if err != nil && !errors.Is(err, os.ErrNotExist) {
-		return nil, nil, fmt.Errorf("journal: %w", err)
+	var size int64
+	for _, name := range []string{heirName, fileName} {
+		text, err := os.ReadFile(j.path(name))
+		if err != nil && !errors.Is(err, os.ErrNotExist) {
+			return nil, nil, fmt.Errorf("journal: %w", err)
+		}
+		j.replay(text)
+		size += int64(len(text))
 	}
-	j.replay(text)
 	for _, e := range j.live {
 		e.settle(true)
 	}
-	j.size = int64(len(text))
+	j.size = size
 	if err := j.compact(); err != nil {
 		return nil, nil, fmt.Errorf("journal: %w", err)
 	}
+	if err := os.Remove(j.path(heirName)); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, nil, fmt.Errorf("journal: %w", err)
+	}
 	j.claim(0, 0)
 	return j, j.entries(), nil
 }
 
+// heirGap keeps the numbers of a new version's messages apart from those of the present one, which go on
+// while both run.
+const heirGap = 1 << 32
+
+// OpenHeir starts the journal of a new version that starts while the present one still works in dir: a
+// file of its own, empty, whose numbers lie above all that the present one's journal has used.
+func OpenHeir(dir string, room *statedir.Account) (*Journal, error) {
+	text, err := os.ReadFile(filepath.Join(dir, fileName))
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	seen := &Journal{live: map[uint64]*Entry{}, next: 1}
+	seen.replay(text)
+	j := &Journal{dir: dir, name: heirName, room: room, live: map[uint64]*Entry{}, next: seen.next + heirGap}
+	if err := j.compact(); err != nil {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	j.claim(0, 0)
+	return j, nil
+}
+
+// TakeOver makes the journal of a new version the journal, once the present one has left: what that one
+// held joins this file, which takes the journal's place. It returns the entries that joined, in order.
+func (j *Journal) TakeOver() ([]*Entry, error) {
+	if j.name == fileName {
+		return nil, nil
+	}
+	if err := j.Flush(); err != nil {
+		return nil, err
+	}
+	text, err := os.ReadFile(j.path(fileName))
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	left := &Journal{live: map[uint64]*Entry{}, next: 1}
+	left.replay(text)
+	for _, e := range left.live {
+		e.settle(true)
+		j.live[e.Num] = e
+	}
+	j.name = fileName
+	if err := j.compact(); err != nil { // the copy takes the old journal's place, whole
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	if err := os.Remove(j.path(heirName)); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	j.claim(0, 0)
+	return left.entries(), nil
+}
+
 func (j *Journal) path(name string) string { return filepath.Join(j.dir, name) }
 
 func (j *Journal) entries() []*Entry {
@@ -296,6 +361,7 @@
 			})
 		}
 	}
+	copyName := j.name + copyEnd
 	f, err := os.OpenFile(j.path(copyName), os.O_WRONLY|os.O_CREATE|os.O_TRUNC|os.O_APPEND, 0o600)
 	if err != nil {
 		return err
@@ -303,7 +369,7 @@
 	if _, err := f.Write(b); err != nil {
 		return errors.Join(err, f.Close(), os.Remove(j.path(copyName)))
 	}
-	if err := os.Rename(j.path(copyName), j.path(fileName)); err != nil {
+	if err := os.Rename(j.path(copyName), j.path(j.name)); err != nil {
 		return errors.Join(err, f.Close())
 	}
 	if j.f != nil {
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -145,3 +145,54 @@
 		}
 	}
 }
+
+// An heir's journal: numbers apart from the present one's, the present one's live entries taken in when it
+// has left, one file after; and where the heir never took over, a later start takes in both.
+func TestHeir(t *testing.T) {
+	dir := t.TempDir()
+	present, _ := open(t, dir, 1<<20)
+	held, over := &Entry{Num: present.Next(), Trace: "held", Deadline: 1}, &Entry{Num: present.Next(), Trace: "over", Deadline: 1}
+	present.Take(held)
+	present.Take(over)
+	present.Flush()
+	heir, err := OpenHeir(dir, statedir.NewSpace(1<<20).Account())
+	if err != nil {
+		t.Fatal(err)
+	}
+	mine := &Entry{Num: heir.Next(), Trace: "mine", Deadline: 1}
+	if mine.Num <= over.Num {
+		t.Fatalf("the heir's number %d is among the present one's", mine.Num)
+	}
+	heir.Take(mine)
+	heir.Flush()
+	present.Start(held, 5, 0) // out when the present one leaves: it may have run
+	present.End(over)
+	if err := present.Close(); err != nil {
+		t.Fatal(err)
+	}
+	joined, err := heir.TakeOver()
+	if err != nil || len(joined) != 1 || joined[0].Trace != "held" || joined[0].DoubtAt != 5 {
+		t.Fatalf("took over %+v, %v", joined, err)
+	}
+	heir.End(mine)
+	heir.Close()
+	_, live := open(t, dir, 1<<20)
+	if len(live) != 1 || live[0].Trace != "held" {
+		t.Fatalf("after the take-over: %+v", live)
+	}
+	if _, err := os.Stat(filepath.Join(dir, heirName)); !os.IsNotExist(err) {
+		t.Errorf("the heir's file is left: %v", err)
+	}
+
+	// An heir that never took over: its file is taken in at the next start, beside the journal.
+	left, err := OpenHeir(dir, statedir.NewSpace(1<<20).Account())
+	if err != nil {
+		t.Fatal(err)
+	}
+	left.Take(&Entry{Num: left.Next(), Trace: "left", Deadline: 1})
+	left.Close()
+	_, live = open(t, dir, 1<<20)
+	if len(live) != 2 || live[0].Trace != "held" || live[1].Trace != "left" {
+		t.Fatalf("after an heir that did not take over: %+v", live)
+	}
+}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -73,14 +73,18 @@
 	gone   uint64   // message that its client never heard was taken on
 	out    *outOrder
 	retune *policy.Settings
-	stop   bool
+	// takeOver ends the waiting of an heir; handOver stops a sender whose heir waits.
+	takeOver *takeOver
+	stop     bool
+	handOver bool
 }
 
 // outOrder takes an endpoint out by hand, or puts it back.
 type outOrder struct {
-	id   string
-	out  bool
-	done chan error
+	id    string
+	out   bool
+	known bool // another process of this sender has taken it: no list need have named it here
+	done  chan error
 }
 
 type order struct {
@@ -134,7 +138,9 @@
 	Watch   *telemetry.Recorder // nil: nobody watches
 	Records bool                // a line in the log for each thing that happens to a message
 	Out     operate.Out         // endpoints taken out by hand, which count as draining
-	Log     zerolog.Logger
+	// Heir: a new version started beside the present one, which sends nothing until TakeOver.
+	Heir bool
+	Log  zerolog.Logger
 }
 
 // Sender carries out what the decision module decides.
@@ -163,6 +169,8 @@
 	names   map[string]uint32             // every endpoint that a list has named
 	out     operate.Out
 	classes atomic.Pointer[classTable] // shared with intake
+	heir    bool
+	waiting []discovery.List // lists that an heir holds back
 	partner func(dest int) *outbound.Partner
 	streams int
 	calls   map[*outbound.Call]bool // out
@@ -175,6 +183,7 @@
 	timerAt float64
 	token   uint32
 	stopAt  time.Time // zero: not stopping
+	handing bool      // stopping for an heir: no further call begins
 }
 
 // taking is a message of this step that waits for its verdict.
@@ -207,6 +216,7 @@
 		addrs:  map[uint32]discovery.Endpoint{},
 		names:  map[string]uint32{},
 		out:    o.Out.Clone(),
+		heir:   o.Heir,
 		calls:  map[*outbound.Call]bool{},
 		timer:  time.NewTimer(time.Hour),
 	}
@@ -299,8 +309,13 @@
 
 // TakeOut takes an endpoint out by hand (out) or puts it back. It returns once the module holds to it:
 // nothing new goes there from then on. An endpoint that no list has named is operate.ErrNeverListed.
-func (s *Sender) TakeOut(id string, out bool) error {
-	o := &outOrder{id: id, out: out, done: make(chan error, 1)}
+func (s *Sender) TakeOut(id string, out bool) error { return s.takeOutOrder(id, out, false) }
+
+// Follow takes an endpoint out or puts it back as another process of this sender did: named or not.
+func (s *Sender) Follow(id string, out bool) error { return s.takeOutOrder(id, out, true) }
+
+func (s *Sender) takeOutOrder(id string, out, known bool) error {
+	o := &outOrder{id: id, out: out, known: known, done: make(chan error, 1)}
 	s.post(input{out: o})
 	select {
 	case err := <-o.done:
@@ -313,6 +328,10 @@
 // Stop makes the sender take on nothing more, let its calls end, and leave.
 func (s *Sender) Stop() { s.post(input{stop: true}) }
 
+// HandOver stops the sender for an heir that waits: no further call begins, and it leaves as soon as the
+// calls out have ended. What it holds is in the journal, for the heir.
+func (s *Sender) HandOver() { s.post(input{stop: true, handOver: true}) }
+
 // Done is closed when the sender has left.
 func (s *Sender) Done() <-chan struct{} { return s.done }
 
@@ -345,6 +364,9 @@
 		return false
 	}
 	age := time.Since(s.stopAt)
+	if s.handing && len(s.calls) == 0 {
+		return true
+	}
 	return age >= stopAfter || age >= stopLeast && len(s.calls) == 0 && (age >= sendFor || len(s.msgs) == 0)
 }
 
@@ -393,7 +415,10 @@
 		in.out.done <- s.takeOut(in.out)
 	case in.retune != nil:
 		s.takeRetune(in.retune)
+	case in.takeOver != nil:
+		in.takeOver.done <- s.takeTakeOver(in.takeOver)
 	case in.stop:
+		s.handing = s.handing || in.handOver
 		if s.stopAt.IsZero() {
 			s.stopAt = time.Now()
 			s.log.Info().Int("held", len(s.msgs)).Int("calls", len(s.calls)).Msg("stopping")
@@ -500,7 +525,7 @@
 // takeOut carries out an order by hand: the module hears of the endpoint as if listed anew.
 func (s *Sender) takeOut(o *outOrder) error {
 	id, named := s.names[o.id]
-	if !named && !s.out.Has(o.id) { // one taken out in an earlier life may not be listed yet
+	if !named && !o.known && !s.out.Has(o.id) { // one taken out in an earlier life may not be listed yet
 		return operate.ErrNeverListed
 	}
 	if err := s.out.Set(o.id, o.out); err != nil {
@@ -514,6 +539,10 @@
 }
 
 func (s *Sender) takeList(l *discovery.List) {
+	if s.heir {
+		s.holdList(l)
+		return
+	}
 	s.recall(l)
 	ev := policy.Event{Kind: policy.EvList, FullList: l.Full}
 	listed := make(map[uint32]bool, len(l.Entries))
@@ -628,7 +657,7 @@
 // send enters an attempt. Sends of one step to one endpoint share a call.
 func (s *Sender) send(a *policy.Action) {
 	m, e := s.msgs[a.ID], s.addrs[a.Endpoint]
-	if m == nil || m.call != nil || e.Addr == "" || s.stopping(sendFor) {
+	if m == nil || m.call != nil || e.Addr == "" || s.stopping(sendFor) || s.handing {
 		return
 	}
 	item := outbound.Item{ID: m.Num, Attempt: m.Attempts, Trace: m.Trace, Key: m.Key, Body: m.Body}
--- a/internal/statedir/statedir.go
+++ b/internal/statedir/statedir.go
@@ -45,6 +45,52 @@
 	}
 }
 
+// heirName is the lock of a new version that starts while the present one still holds the folder.
+const heirName = "lock.heir"
+
+// LockHeir takes the folder's second place, that of a new version started beside the present one; there is
+// one such place. It does not wait: ErrInUse where another heir has it.
+func LockHeir(dir string) (*Locked, error) {
+	f, err := os.OpenFile(filepath.Join(dir, heirName), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("state folder: %w", err)
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		f.Close()
+		if err == syscall.EWOULDBLOCK {
+			return nil, fmt.Errorf("state folder %s: a new version is already starting here: %w", dir, ErrInUse)
+		}
+		return nil, fmt.Errorf("state folder %s: lock: %w", dir, err)
+	}
+	return &Locked{f}, nil
+}
+
+// HeirWaits reports whether a new version holds the folder's second place and waits to take over.
+func HeirWaits(dir string) bool {
+	f, err := os.OpenFile(filepath.Join(dir, heirName), os.O_RDWR, 0)
+	if err != nil {
+		return false // no heir has ever been here
+	}
+	defer f.Close()
+	return syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) == syscall.EWOULDBLOCK
+}
+
+// Note writes what the holder is into the lock file, for a process that finds the folder held: a new
+// version of the same sender may start beside it, anything else may not.
+func (l *Locked) Note(text string) error {
+	if err := l.f.Truncate(0); err != nil {
+		return err
+	}
+	_, err := l.f.WriteAt([]byte(text), 0)
+	return err
+}
+
+// Holder is what the holder of the folder has noted; empty where nothing is.
+func Holder(dir string) string {
+	b, _ := os.ReadFile(filepath.Join(dir, lockName))
+	return string(b)
+}
+
 // Locked is a folder that this process holds.
 type Locked struct{ f *os.File }
 
