--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 
+	"sliptide/internal/fsys"
 	"sliptide/internal/operate"
 )
 
@@ -151,3 +152,38 @@
 		t.Errorf("after the callers left: %s after %v", status, took)
 	}
 }
+
+// Two processes of one sender in an upgrade: what an operator takes out at one holds at the other, which
+// follows the file; an id that the other has never seen listed is taken too.
+func TestKeptIsFollowed(t *testing.T) {
+	dir := fsys.OS{Dir: t.TempDir()}
+	old, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	old.Bind(func(string, bool) error { return nil })
+	heir, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var told []string
+	follow := func(id string, out bool) error { told = append(told, fmt.Sprint(id, " ", out)); return nil }
+	old.Disable("s-1")
+	old.Disable("s-2")
+	heir.follow(follow)
+	old.Enable("s-1")
+	heir.follow(follow)
+	heir.follow(follow) // nothing new
+	if got := strings.Join(told, ","); got != "s-1 true,s-2 true,s-1 false" {
+		t.Errorf("followed %s", got)
+	}
+	if ids := heir.Out().IDs(); len(ids) != 1 || ids[0] != "s-2" {
+		t.Errorf("the heir holds %v", ids)
+	}
+	if err := dir.Write(outName, []byte("garbage"), false); err != nil {
+		t.Fatal(err)
+	}
+	if err := heir.follow(follow); err == nil || heir.Out().Len() != 1 {
+		t.Errorf("a broken file: %v, %v", err, heir.Out().IDs())
+	}
+}
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -46,10 +46,10 @@
 type Out struct{ ids map[string]bool }
 
 // Has reports whether the endpoint is taken out.
-func (o *Out) Has(id string) bool { return o.ids[id] }
+func (o Out) Has(id string) bool { return o.ids[id] }
 
 // Len is how many are taken out.
-func (o *Out) Len() int { return len(o.ids) }
+func (o Out) Len() int { return len(o.ids) }
 
 // Set takes the endpoint out (out) or puts it back. Taking out one that is out, or putting back one that
 // is not, changes nothing and is no error: calls may be repeated.
@@ -74,7 +74,7 @@
 
 // State is the state that an endpoint has for this sender when discovery lists it as listed: one that is
 // taken out drains, and one that is gone stays gone.
-func (o *Out) State(id string, listed policy.EndpointState) policy.EndpointState {
+func (o Out) State(id string, listed policy.EndpointState) policy.EndpointState {
 	if listed == policy.Ready && o.ids[id] {
 		return policy.Draining
 	}
@@ -82,7 +82,7 @@
 }
 
 // IDs are the endpoints taken out, in order.
-func (o *Out) IDs() []string {
+func (o Out) IDs() []string {
 	list := make([]string, 0, len(o.ids))
 	for id := range o.ids {
 		list = append(list, id)
@@ -92,7 +92,7 @@
 }
 
 // Clone is a copy that shares nothing.
-func (o *Out) Clone() Out {
+func (o Out) Clone() Out {
 	c := Out{}
 	for id := range o.ids {
 		c.Set(id, true)
@@ -101,7 +101,7 @@
 }
 
 // Text is the text form: a header, then one id a line.
-func (o *Out) Text() []byte {
+func (o Out) Text() []byte {
 	b := []byte(header)
 	for _, id := range o.IDs() {
 		b = append(b, id...)
