--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -37,6 +37,7 @@
 		CallSlots:      p.integer("family_info.call_slots", need),
 		Halves:         p.m["family_info.loses_worth"] == "halves",
 		OverShareWorth: p.float("over_share_worth", 1),
+		CrossFee:       p.float("fees.cross_zone", 0),
 		Rated:          p.m["weights"] == "nominal" || p.m["weights"] == "rough",
 		MayCancel:      p.flag("limits.may_cancel"),
 		MayProbe:       p.flag("limits.probes"),
@@ -131,6 +132,12 @@
 		}
 		s.Tolls = append(s.Tolls, toll)
 	}
+	if len(s.Zones) > 0 && (s.Zone < 0 || s.Zone >= len(s.Zones)) {
+		p.fail("zone", fmt.Errorf("%d names no zone; allowed: 0 to %d, the positions of areas %v", s.Zone, len(s.Zones)-1, s.Zones))
+	}
+	if len(s.Tolls) > 1 && len(s.Tolls) != len(s.Zones) {
+		p.fail("family_info.toll", fmt.Errorf("%d figures for the %d zones of areas %v; allowed: one for each", len(s.Tolls), len(s.Zones), s.Zones))
+	}
 	p.over("limits.max_attempts", float64(s.MaxAttempts), 0, "a whole number over 0")
 	p.over("family_info.call_slots", float64(s.CallSlots), 0, "a whole number over 0")
 	return s, p.err
--- a/internal/config/settings_test.go
+++ b/internal/config/settings_test.go
@@ -13,6 +13,8 @@
 family_info.call_slots=10
 family_info.kind_batch=5,1
 kinds=big,plain
+areas=a,b,c
+zone=2
 limits.max_attempts=6
 limits.most_held=100`
 
@@ -33,6 +35,8 @@
 		{"services.count=1", "services.count=0", "setting services: no class is defined; allowed: one or more"},
 		{"limits.max_attempts=6\n", "", "setting limits.max_attempts: missing"},
 		{"services.count=1", "services.count=2\nservices.1.name=note\nservices.1.deadline=100\nservices.1.effect=safe", `setting services.1.name: "note": allowed: a name that no other class has`},
+		{"zone=2", "zone=3", "setting zone: 3 names no zone; allowed: 0 to 2, the positions of areas [a b c]"},
+		{"zone=2", "zone=2\nfamily_info.toll=0.1,0.2", "setting family_info.toll: 2 figures for the 3 zones of areas [a b c]"},
 	} {
 		text := strings.Replace(goodSettings, c.from, c.to, 1)
 		if text == goodSettings {
--- a/internal/intake/api.go
+++ b/internal/intake/api.go
@@ -68,7 +68,7 @@
 	}
 	class := policy.Class{}
 	if msg.Class, class = s.snd.ClassOf(h.Get("X-Qos")); msg.Class < 0 {
-		return msg, "X-Qos"
+		return msg, "X-Qos: no class of the settings has that name"
 	}
 	if msg.Tenant = s.tenant(h.Get("X-Customer")); msg.Tenant < 0 {
 		return msg, "X-Customer"
--- a/policy/api.go
+++ b/policy/api.go
@@ -53,6 +53,7 @@
 	Tenants        []Tenant
 	Kinds          []DestKind
 	Tolls          []float64 // price of a message to a route apart, by zone
+	CrossFee       float64   // price of an attempt that crosses zones, in points of G a first try
 	CallSlots      int
 	Halves         bool // worth halves with each further aim, else falls evenly
 	OverShareWorth float64
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -97,6 +97,7 @@
 	ratedSure   = 0.6     // a rating of the list may be up to half too high; an outage's ramp relies on so much
 	baseFew     = 4.0     // so many senders; more share it
 	itemWeight  = 0.25    // a further message in a call, as a share of a call
+	crossCost   = 20.0    // a point of G that a call to another zone costs, in calls out there
 	spanMargin  = 0.9     // share of a key's memory span that is used
 	holdShare   = 0.9     // share of the holding room above which the least worth is given back
 	logGap      = 200.0   // between two log lines
@@ -294,19 +295,6 @@
 	}
 }
 
-func (c *controller) arrive(now float64) {
-	if now-c.seen > ageAfter {
-		c.reset(now)
-	}
-	c.seen = now
-	c.arrivals++
-}
-
-// rest admits all and forgets E[X]: no message of the destination waits.
-func (c *controller) rest() {
-	c.pa, c.pam, c.ex, c.waited, c.done, c.primed = 1, 1, 0, 0, 0, false
-}
-
 // update closes a period: predictor (eq. 4), RLS (eqs. 9, 10) and control law (eq. 11) with n=1, m=0, d=1.
 // The error is taken relative to Dref. oldest is the age of the oldest held message, which stands in for
 // the delay when nothing was sent: a silent destination's samples would come only at its time-outs.
@@ -414,7 +402,7 @@
 			cost += 0.7
 		}
 		if ep.zone != s.set.Zone {
-			cost += 0.2
+			cost += 0.2 + crossCost*s.set.CrossFee
 		}
 		if !s.few() { // among equals each sender has its own first, or all would fill the same one's queue
 			cost += equalsCost * float64((i+s.set.Index)%len(d.eps)) / float64(len(d.eps))
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -822,3 +822,24 @@
 		t.Fatalf("the new class is not in force: %+v, aim %v", m, r.s.aim)
 	}
 }
+
+// A call to another zone costs what the settings charge for it: with a fee, a sender takes its own zone's
+// endpoint though a connection to it must be opened first; without one, the warm connection elsewhere.
+func TestCrossZoneFee(t *testing.T) {
+	for _, c := range []struct {
+		fee  float64
+		want uint32
+	}{{0, 2}, {0.03, 1}} {
+		set := testSettings()
+		set.Zone, set.CrossFee = 0, c.fee
+		far := Endpoint{ID: 2, State: Ready, Dest: 0, Kind: 2, Zone: 1}
+		r := newRig(t, set, far)
+		r.message(1, clsSafe, 0, 0)
+		r.reply(1, OK, 0) // the connection to the far one is warm now
+		r.step(Event{Kind: EvList, List: []Endpoint{ready(1, 0, 2)}})
+		r.must(r.message(2, clsSafe, 0, 0), ActSend, 2, "a second message")
+		if r.on[2] != c.want {
+			t.Errorf("fee %v: sent to %d, want %d", c.fee, r.on[2], c.want)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -654,3 +654,17 @@
 	}
 	return longest
 }
+
+// arrive counts a message handed in; an idle controller starts afresh.
+func (c *controller) arrive(now float64) {
+	if now-c.seen > ageAfter {
+		c.reset(now)
+	}
+	c.seen = now
+	c.arrivals++
+}
+
+// rest admits all and forgets E[X]: no message of the destination waits.
+func (c *controller) rest() {
+	c.pa, c.pam, c.ex, c.waited, c.done, c.primed = 1, 1, 0, 0, 0, false
+}
--- a/test.sh
+++ b/test.sh
@@ -26,5 +26,12 @@
 	echo "policy/policy.go: lines over 110 characters" >&2
 	exit 1
 fi
+# One program serves every deployment: no code may switch on the name of a site, an operator, a partner, a
+# class, a kind or a zone of one. What a deployment needs is a property that its settings or lists state.
+names='nairobi|lagos|savanna|heritage|rift-safaris|coast-tours|booking-msg|tour-update|ticket-payment|big-partner|partner-systems|main-office|guide-house|visitor-centre|nbo-dc1'
+if grep -rniE "$names" --include='*.go' --exclude='*_test.go' policy internal cmd; then
+	echo "the lines above name a deployment's site, operator, partner, class, kind or zone" >&2
+	exit 1
+fi
 go vet ./...
 go test -race -count=1 ./...
