--- /dev/null
+++ b/cmd/sliptide/fleet.go
@@ -0,0 +1,166 @@
+package main
+
+import (
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"sliptide/internal/cli"
+	"sliptide/internal/config"
+	"sliptide/internal/fleet"
+	"sliptide/internal/fleet/lease"
+	"sliptide/internal/fleet/pb"
+	"sliptide/internal/fleet/trial"
+	"sliptide/internal/fsys"
+	"sliptide/internal/keys"
+	"sliptide/internal/operator"
+	"sliptide/internal/sender"
+	"sliptide/internal/statedir"
+)
+
+// membership is this sender in its fleet. A nil one is none: the part is off. An heir joins only when the version
+// before has left: the two are one member.
+type membership struct {
+	set   fleet.Settings
+	files fsys.FS
+	room  *statedir.Account
+	log   zerolog.Logger
+	snd   *sender.Sender
+
+	mu     sync.Mutex
+	member *fleet.Member
+	left   bool
+}
+
+// newMembership checks the fleet's settings against this sender's name, and gives the sender its part in the
+// trials that the fleet shares.
+func newMembership(cfg *config.Config, op *operator.File, space *statedir.Space, log zerolog.Logger) (*membership, error) {
+	f := &op.Fleet
+	if !f.Enabled {
+		return nil, nil
+	}
+	if !f.Has(cfg.Name) {
+		return nil, fmt.Errorf("%w: fleet: RELAY_NAME is %q, which is no <member>", cli.ErrConfig, cfg.Name)
+	}
+	m := &membership{files: fsys.OS{Dir: cfg.State}, room: space.Account(), log: log}
+	m.set = fleet.Settings{Name: cfg.Name, Listen: f.Listen, Members: peers(f), Minimum: f.Minimum, Weight: uint32(f.Weight),
+		Terms: lease.Terms{Length: f.Duties.Lease, Drift: f.Duties.Drift}, Election: f.Duties.Election, Hash: f.Hash()}
+	if m.set.Minimum == 0 {
+		m.set.Minimum = len(f.Voters())
+	}
+	if f.Cert != "" {
+		cfg, warnings, err := keys.Load(keys.Files{CA: f.CA, Cert: f.Cert, Key: f.Key}, time.Now())
+		if err != nil {
+			return nil, fmt.Errorf("%w: fleet: %w", cli.ErrConfig, err)
+		}
+		warn(log, warnings)
+		m.set.Client = cfg
+		m.set.Server = &tls.Config{MinVersion: tls.VersionTLS12, Certificates: cfg.Certificates, ClientCAs: cfg.RootCAs, ClientAuth: tls.RequireAndVerifyClientCert}
+	}
+	return m, nil
+}
+
+func peers(f *operator.Fleet) (list []fleet.Peer) {
+	for _, m := range f.Members {
+		list = append(list, fleet.Peer(m))
+	}
+	return list
+}
+
+// bind gives the sender its part in the fleet's trials, before it runs.
+func (m *membership) bind(snd *sender.Sender, op *operator.File, senders int) {
+	if m == nil {
+		return
+	}
+	m.snd = snd
+	if op.Fleet.Trials.Enabled {
+		snd.Join(m, trial.Settings{Senders: senders, Bound: float64(op.Fleet.Trials.Bound) / float64(time.Millisecond)})
+	}
+}
+
+// join makes this process the member. What fails leaves the sender as it is without a fleet, but for a folder that
+// is another member's, which must not be used at all.
+func (m *membership) join() error {
+	if m == nil {
+		return nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.left || m.member != nil {
+		return nil
+	}
+	addr := m.set.Listen
+	if self, known := m.set.Self(); known && addr == "" {
+		addr = self.Addr
+	}
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("fleet: listen: %w", err)
+	}
+	m.member, err = fleet.Open(fleet.Options{Settings: m.set, Files: m.files, Room: m.room, Log: m.log, Watch: m.heard}, ln)
+	if err != nil {
+		return errors.Join(err, ln.Close())
+	}
+	return nil
+}
+
+func (m *membership) heard(d *pb.Duty, mine bool) {
+	m.snd.Heard(d.Name, trial.News{Holder: d.Holder, Mine: mine, Word: d.Word})
+}
+
+// leave gives up what is held and leaves the fleet; a later join does nothing.
+func (m *membership) leave() {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	member := m.member
+	m.left = true
+	m.mu.Unlock()
+	member.Close()
+}
+
+func (m *membership) get() *fleet.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.member
+}
+
+// retune takes the members of an operators' file that was read again.
+func (m *membership) retune(op *operator.File) {
+	if m != nil && op.Fleet.Enabled {
+		m.get().SetMembers(peers(&op.Fleet))
+	}
+}
+
+// Want implements sender.Fleet, as the others below.
+func (m *membership) Want(duty, zone string) {
+	if f := m.get(); f != nil {
+		f.Want(duty, zone)
+	}
+}
+
+// Leave implements sender.Fleet.
+func (m *membership) Leave(duty string, end bool) {
+	if f := m.get(); f != nil {
+		f.Leave(duty, end)
+	}
+}
+
+// Say implements sender.Fleet.
+func (m *membership) Say(duty, word string) {
+	if f := m.get(); f != nil {
+		f.Say(duty, word)
+	}
+}
+
+// Held implements sender.Fleet.
+func (m *membership) Held(duty string) uint64 { return m.get().Held(duty) }
+
+// Live implements sender.Fleet.
+func (m *membership) Live() bool { return m.get().Live() }
--- a/cmd/sliptide/run.go
+++ b/cmd/sliptide/run.go
@@ -113,6 +113,11 @@
 		Partner: book.Of, Streams: partners.Streams, Storms: guard(cfg, op.Storms), Watch: pipe.Records(), Records: op.Log.Records,
 		Out: kept.Out(), Heir: place.waiting(),
 	})
+	team, err := newMembership(cfg, op, space, log)
+	if err != nil {
+		return err
+	}
+	team.bind(snd, op, cfg.Settings.Senders)
 	kept.Bind(snd.TakeOut)
 	go kept.Follow(ctx, snd.Follow, log)
 	listed := make(chan struct{}, 1)
@@ -146,13 +151,16 @@
 		notices.Move(cfg.Discovery)
 		memory.get().Keeper.Set(op.Knowledge)
 		snd.Retune(cfg.Settings)
+		team.retune(op)
 	})
 	if k := memory.get().Keeper; k != nil {
 		go k.Run()
 	}
 	if place.waiting() {
-		h := &heir{place: place, cfg: cfg, op: op, space: space, room: room, clock: clock, log: log, snd: snd, kept: kept, memory: memory}
+		h := &heir{place: place, cfg: cfg, op: op, space: space, room: room, clock: clock, log: log, snd: snd, kept: kept, memory: memory, team: team}
 		go h.takeOver()
+	} else if err := team.join(); err != nil {
+		return err
 	}
 	go snd.Run()
 	go notices.Run(ctx)
@@ -172,12 +180,18 @@
 		<-stop
 	case <-stop:
 	}
+	away := make(chan struct{})
+	go func() { // what it holds is handed on at once, while its own calls still end
+		team.leave()
+		close(away)
+	}()
 	if !place.waiting() && statedir.HeirWaits(cfg.State) {
 		log.Info().Msg("a new version waits: handing over")
 		handOver(server, snd, ln)
 	} else {
 		shutdown(server, snd, ln)
 	}
+	<-away
 	m := memory.get()
 	m.close()
 	closeTelemetry(pipe)
--- a/cmd/sliptide/upgrade.go
+++ b/cmd/sliptide/upgrade.go
@@ -103,6 +103,7 @@
 	snd    *sender.Sender
 	kept   *admin.Kept
 	memory *memoryBox
+	team   *membership
 }
 
 // takeOver waits until the version before has left the folder, then makes this process the sender.
@@ -133,6 +134,9 @@
 	h.place.heir.Unlock()
 	h.place.heir = nil
 	h.place.mu.Unlock()
+	if err := h.team.join(); err != nil {
+		h.log.Error().Err(err).Msg("the fleet goes on without this sender")
+	}
 }
 
 // listen listens for clients beside any other process of this sender on the address: an heir starts
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -39,6 +39,7 @@
 	Knowledge knowledgeCmd `cmd:"" help:"Look at what senders have learned and keep over restarts."`
 	Journal   journalCmd   `cmd:"" help:"Look at what a sender has taken on."`
 	Partner   partnerCmd   `cmd:"" help:"Look at partners."`
+	Fleet     fleetCmd     `cmd:"" help:"Look at a fleet of senders and its duties, by asking a running member."`
 	Lab       labCmd       `cmd:"" help:"Try settings and partners in an emulator (starts sliptide-lab)."`
 	Version   versionCmd   `cmd:"" help:"Print the version."`
 }
--- /dev/null
+++ b/internal/cli/fleet.go
@@ -0,0 +1,205 @@
+package cli
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"sliptide/internal/fleet/link"
+	"sliptide/internal/fleet/pb"
+	"sliptide/internal/fleet/voter"
+	"sliptide/internal/keys"
+	"sliptide/internal/operator"
+)
+
+const askFor = 4 * time.Second // a member is waited for so long
+
+type fleetCmd struct {
+	Status   fleetStatus   `cmd:"" help:"Who leads, who is there, who holds how much."`
+	Duties   fleetDuties   `cmd:"" help:"Each duty, its holder and its token."`
+	HandOver fleetHandOver `cmd:"" help:"Ask the holder of a duty to hand it to a member."`
+	Remove   fleetRemove   `cmd:"" help:"End a member for good: what it holds goes on to others once its lease is over."`
+}
+
+// fleetAsk says whom to ask.
+type fleetAsk struct {
+	Operator string `help:"The operators' file, whose members are asked." placeholder:"FILE" env:"SLIPTIDE_OPERATOR" default:"deploy/sliptide.xml"`
+	At       string `help:"Ask the member at this address alone." placeholder:"HOST:PORT"`
+}
+
+// ask puts a question to a running member, and returns the first answer.
+func (c *fleetAsk) ask(q *pb.Ask) (*pb.Answer, error) {
+	file, err := operator.Load(c.Operator)
+	if err != nil {
+		return nil, fmt.Errorf("%w%w", misuse, err)
+	}
+	if !file.Fleet.Enabled {
+		return nil, fmt.Errorf("%w%s: no <fleet enabled=\"true\">", misuse, c.Operator)
+	}
+	addrs := []string{c.At}
+	if c.At == "" {
+		addrs = nil
+		for _, m := range file.Fleet.Voters() {
+			addrs = append(addrs, m.Addr)
+		}
+	}
+	var with *tls.Config
+	if f := file.Fleet; f.Cert != "" {
+		if with, _, err = keys.Load(keys.Files{CA: f.CA, Cert: f.Cert, Key: f.Key}, time.Now()); err != nil {
+			return nil, err
+		}
+	}
+	var failed []error
+	for _, addr := range addrs {
+		a, err := askAt(addr, with, q)
+		if err == nil {
+			return a, nil
+		}
+		failed = append(failed, fmt.Errorf("%s: %w", addr, err))
+	}
+	return nil, fmt.Errorf("no member answers: %w", errors.Join(failed...))
+}
+
+func askAt(addr string, with *tls.Config, q *pb.Ask) (*pb.Answer, error) {
+	conn, err := link.Dial(addr, with)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), askFor)
+	defer cancel()
+	a, err := pb.NewLinksClient(conn).Call(ctx, q)
+	if err == nil && a.Error != "" {
+		err = errors.New(a.Error)
+	}
+	return a, err
+}
+
+func (c *fleetAsk) status() (*voter.Status, error) {
+	a, err := c.ask(&pb.Ask{Status: &pb.Status{}})
+	if err != nil {
+		return nil, err
+	}
+	var s voter.Status
+	if err := json.Unmarshal([]byte(a.Status), &s); err != nil {
+		return nil, err
+	}
+	// A voter that follows knows nothing of when members were heard: the one that leads does.
+	if c.At == "" && s.Leader != "" && s.Leader != s.Asked {
+		if file, err := operator.Load(c.Operator); err == nil {
+			for _, m := range file.Fleet.Members {
+				if m.Name == s.Leader {
+					lead := fleetAsk{Operator: c.Operator, At: m.Addr}
+					if t, err := lead.status(); err == nil && t.Leader == t.Asked {
+						return t, nil
+					}
+				}
+			}
+		}
+	}
+	return &s, nil
+}
+
+type fleetStatus struct {
+	fleetAsk
+	JSON bool `help:"As JSON."`
+}
+
+// Run runs the command.
+func (c *fleetStatus) Run(env *Env) error {
+	s, err := c.status()
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return putJSON(env, s)
+	}
+	leader := s.Leader
+	if leader == "" {
+		leader = "nobody: no quorum is known here"
+	}
+	fmt.Fprintf(env.Out, "asked %s: leader %s, term %d, applied %d, log %d bytes\n", s.Asked, leader, s.Term, s.Applied, s.LogSize)
+	if s.Failed != "" {
+		fmt.Fprintf(env.Out, "%s takes no part: %s\n", s.Asked, s.Failed)
+		return nil
+	}
+	w := tabwriter.NewWriter(env.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "MEMBER\tZONE\tVOTER\tSESSION\tHEARD\tDUTIES")
+	for _, m := range s.Members {
+		heard, session := "-", "none"
+		if m.Heard >= 0 {
+			heard = fmt.Sprintf("%.0f ms ago", m.Heard)
+		}
+		if m.Session != 0 {
+			session = fmt.Sprint(m.Session)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%t\t%s\t%s\t%d\n", m.Name, m.Zone, m.Voter, session, heard, m.Duties)
+	}
+	return w.Flush()
+}
+
+type fleetDuties struct {
+	fleetAsk
+	JSON bool `help:"As JSON."`
+}
+
+// Run runs the command.
+func (c *fleetDuties) Run(env *Env) error {
+	s, err := c.status()
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		if s.Duties == nil {
+			s.Duties = []voter.DutyStatus{}
+		}
+		return putJSON(env, s.Duties)
+	}
+	w := tabwriter.NewWriter(env.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "DUTY\tHOLDER\tTOKEN\tTO BE HANDED TO\tWORD")
+	for _, d := range s.Duties {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\n", d.Name, d.Holder, d.Token, d.Wanted, d.Word)
+	}
+	return w.Flush()
+}
+
+type fleetHandOver struct {
+	fleetAsk
+	Duty string `arg:"" help:"The duty, as fleet duties names it."`
+	Name string `arg:"" help:"The member that is to hold it."`
+}
+
+// Run runs the command.
+func (c *fleetHandOver) Run(env *Env) error {
+	_, err := c.ask(&pb.Ask{Command: &pb.Command{What: &pb.Command_HandOver{HandOver: &pb.HandOver{Duty: c.Duty, To: c.Name}}}})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(env.Out, "%s: its holder is asked to hand over to %s\n", c.Duty, c.Name)
+	return nil
+}
+
+type fleetRemove struct {
+	fleetAsk
+	Name string `arg:"" help:"The member."`
+}
+
+// Run runs the command.
+func (c *fleetRemove) Run(env *Env) error {
+	_, err := c.ask(&pb.Ask{Command: &pb.Command{What: &pb.Command_Remove{Remove: &pb.Remove{Member: c.Name}}}})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(env.Out, "%s: removed; what it holds goes on to others once its lease is over\n", c.Name)
+	return nil
+}
+
+func putJSON(env *Env, v any) error {
+	enc := json.NewEncoder(env.Out)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,552 @@
+// Package fleet makes a sender a member of a fleet: it runs the session (and, on a voter, the voter) on goroutines
+// of their own, carries their frames over links, and tells whoever acts on a duty whether it is held now.
+//
+// Nothing here is on the sender's path: Held reads an atomic value and a clock. Two loops keep a voter's disk away
+// from the member's own session.
+package fleet
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
+
+	"sliptide/internal/fleet/disk"
+	"sliptide/internal/fleet/lease"
+	"sliptide/internal/fleet/link"
+	"sliptide/internal/fleet/pb"
+	"sliptide/internal/fleet/session"
+	"sliptide/internal/fleet/voter"
+	"sliptide/internal/fsys"
+	"sliptide/internal/statedir"
+)
+
+const (
+	inboxMost  = 1024
+	wishesMost = 16384
+	asideFor   = 100 * time.Millisecond // a voter that leaves has handed the lead on within this time, or has not
+	closeFor   = 170 * time.Millisecond // and what it holds, or its lease runs out
+	callFor    = 3 * time.Second
+	reviveEach = 2 * time.Second // between two tries of a log that cannot be opened
+)
+
+// Peer is one member by the operators' file.
+type Peer struct {
+	Name, Addr, Zone string
+	Voter            bool
+}
+
+// Settings are what the operators' file says of the fleet.
+type Settings struct {
+	Name     string // of this member
+	Listen   string
+	Members  []Peer
+	Minimum  int
+	Weight   uint32
+	Terms    lease.Terms
+	Election time.Duration
+	Hash     uint64 // of what must be alike in all members' files
+	Client   *tls.Config
+	Server   *tls.Config
+}
+
+// Self is this member's own line.
+func (s *Settings) Self() (Peer, bool) {
+	for _, m := range s.Members {
+		if m.Name == s.Name {
+			return m, true
+		}
+	}
+	return Peer{}, false
+}
+
+// Voters are the names of the voters, in the file's order.
+func (s *Settings) Voters() (names []string) {
+	for _, m := range s.Members {
+		if m.Voter {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+// Now is the time on the clock that goes on while the machine sleeps, in nanoseconds.
+func Now() int64 {
+	var t unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &t) != nil {
+		return int64(time.Since(started))
+	}
+	return t.Nano()
+}
+
+var started = time.Now()
+
+// Options are what a Member works with.
+type Options struct {
+	Settings Settings
+	Files    fsys.FS
+	Room     *statedir.Account // nil: not bounded
+	Log      zerolog.Logger
+	Watch    func(d *pb.Duty, mine bool) // each change of a duty; it must not wait. nil: none
+	Now      func() int64                // nil: Now
+	// BreakVoter and BreakSession take guards out, for tests that show what finds that.
+	BreakVoter   voter.Break
+	BreakSession session.Break
+}
+
+// input is something for a loop: a frame, or a call on its goroutine.
+type input struct {
+	from  string
+	frame *pb.Frame
+	call  func()
+}
+
+// holds is what a member holds, as Held reads it.
+type holds struct {
+	until  int64
+	tokens map[string]uint64
+}
+
+// Member is this process in the fleet.
+type Member struct {
+	o       Options
+	now     func() int64
+	self    Peer
+	net     *link.Net
+	session *session.Session
+	voter   *voter.Voter // nil: not a voter, or its log cannot be opened yet
+	id      *pb.Identity
+	toVoter chan input
+	toOwn   chan input
+	held    atomic.Pointer[holds]
+	names   atomic.Pointer[map[string]bool]
+	wishes  wishes
+	ctx     context.Context
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+	closed  chan struct{}
+}
+
+// Open starts a member on the listener. ErrForeign (package disk) means that the folder is another member's.
+func Open(o Options, ln net.Listener) (*Member, error) {
+	self, known := o.Settings.Self()
+	if !known {
+		return nil, fmt.Errorf("fleet: RELAY_NAME is %q, which is no member of <fleet>", o.Settings.Name)
+	}
+	m := &Member{o: o, now: o.Now, self: self, toVoter: make(chan input, inboxMost), toOwn: make(chan input, inboxMost), closed: make(chan struct{}), wishes: wishes{kick: make(chan struct{}, 1)}}
+	if m.now == nil {
+		m.now = Now
+	}
+	m.held.Store(&holds{})
+	m.SetMembers(o.Settings.Members)
+	m.ctx, m.cancel = context.WithCancel(context.Background())
+	log, err := disk.Open(o.Files, o.Room, self.Name)
+	switch {
+	case errors.Is(err, disk.ErrForeign):
+		return nil, fmt.Errorf("fleet: %w", err)
+	case err != nil:
+		// The sender goes on sending, and its member without a log goes on asking.
+		o.Log.Error().Err(err).Msg("fleet: the log cannot be opened")
+		m.id = &pb.Identity{Member: self.Name, Incarnation: rand.Uint64() | 1, Boot: 1}
+	default:
+		m.id = log.Identity()
+	}
+	if self.Voter && err == nil {
+		if m.voter, err = m.newVoter(log); err != nil {
+			return nil, err
+		}
+	}
+	m.session = session.New(session.Options{Member: self.Name, Incarnation: m.id.Incarnation, Boot: m.id.Boot, Zone: self.Zone,
+		Weight: o.Settings.Weight, Voters: o.Settings.Voters(), Terms: o.Settings.Terms, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Note: m.noteDuty, Break: o.BreakSession})
+	if o.Watch != nil {
+		m.session.Watch = func(d *pb.Duty) { o.Watch(d, m.session.Mine(d)) }
+	}
+	m.net = link.New(link.Options{Self: self.Name, Incarnation: m.id.Incarnation, Settings: o.Settings.Hash, Dial: m.dials(), Known: m.known,
+		Client: o.Settings.Client, Server: o.Settings.Server, Receive: m.receive, Call: m.call, Note: m.noteLink})
+	m.done.Add(3)
+	go func() { defer m.done.Done(); m.net.Serve(ln) }()
+	go m.runSession()
+	go m.runVoter()
+	return m, nil
+}
+
+func (m *Member) newVoter(log *disk.Log) (*voter.Voter, error) {
+	s := &m.o.Settings
+	return voter.New(voter.Options{Name: m.self.Name, Voters: s.Voters(), Minimum: s.Minimum, Terms: s.Terms, Election: s.Election, Log: log,
+		Note: m.noteVoter, Break: m.o.BreakVoter}, m.now())
+}
+
+// dials are the members that this one dials: of two voters the first by name does, and everybody else dials the
+// voters.
+func (m *Member) dials() map[string]string {
+	list := map[string]string{}
+	for _, p := range m.o.Settings.Members {
+		if p.Voter && p.Name != m.self.Name && (!m.self.Voter || m.self.Name < p.Name) {
+			list[p.Name] = p.Addr
+		}
+	}
+	return list
+}
+
+func (m *Member) known(name string) bool { return (*m.names.Load())[name] }
+
+// SetMembers takes the members of an operators' file that was read again: links of new ones are taken from now on.
+// Who votes stays until the next start.
+func (m *Member) SetMembers(list []Peer) {
+	if m == nil {
+		return
+	}
+	names := make(map[string]bool, len(list))
+	for _, p := range list {
+		names[p.Name] = true
+	}
+	m.names.Store(&names)
+}
+
+func (m *Member) noteVoter(what string, err error) {
+	m.o.Log.Info().Err(err).Msg("fleet: voter: " + what)
+}
+
+func (m *Member) noteLink(what, member string, err error) {
+	m.o.Log.Info().Str("member", member).Err(err).Msg("fleet: " + what)
+}
+
+func (m *Member) noteDuty(what, duty string, token uint64) {
+	m.o.Log.Info().Str("duty", duty).Uint64("token", token).Msg("fleet: duty " + what)
+}
+
+// receive brings a frame to the loop that it is for. A loop that is behind holds up the link, and no other.
+func (m *Member) receive(ctx context.Context, from string, f *pb.Frame) {
+	to := m.toVoter
+	switch w := f.What.(type) {
+	case *pb.Frame_News:
+		to = m.toOwn
+	case *pb.Frame_Answer:
+		if w.Answer.Id != 0 { // else it is one voter's to another
+			to = m.toOwn
+		}
+	}
+	select {
+	case to <- input{from: from, frame: f}:
+	case <-ctx.Done():
+	case <-m.ctx.Done():
+	}
+}
+
+// route sends a frame over a link, or to the other loop of this very member.
+func (m *Member) route(to string, f *pb.Frame) {
+	if to != m.self.Name {
+		m.net.Send(to, f)
+		return
+	}
+	in := m.toOwn
+	if f.GetAsk() != nil || f.GetRaft() != nil {
+		in = m.toVoter
+	}
+	select {
+	case in <- input{from: to, frame: f}:
+	default: // it is asked again
+	}
+}
+
+func (m *Member) runSession() {
+	defer m.done.Done()
+	tick := time.NewTicker(max(m.o.Settings.Terms.Length/40, 5*time.Millisecond))
+	defer tick.Stop()
+	m.session.Tick(m.now())
+	for {
+		m.publish()
+		for _, o := range m.session.Take() {
+			m.route(o.To, o.Frame)
+		}
+		select {
+		case <-m.ctx.Done():
+			return
+		case in := <-m.toOwn:
+			m.takeOwn(in)
+			for range len(m.toOwn) {
+				m.takeOwn(<-m.toOwn)
+			}
+		case <-m.wishes.kick:
+		case <-tick.C:
+		}
+		for _, f := range m.wishes.take() {
+			f()
+		}
+		m.session.Tick(m.now())
+		if m.session.Closed() {
+			select {
+			case <-m.closed:
+			default:
+				close(m.closed)
+			}
+		}
+	}
+}
+
+func (m *Member) takeOwn(in input) {
+	if in.call != nil {
+		in.call()
+		return
+	}
+	m.session.Receive(in.from, in.frame, m.now())
+}
+
+// publish makes what is held readable to Held, before anything is sent that gives it up.
+func (m *Member) publish() {
+	now := m.now()
+	h := &holds{until: m.session.Until(now), tokens: m.session.Holds(now)}
+	if m.o.BreakSession&session.BreakCheck != 0 {
+		h.until = now + int64(time.Hour)
+	}
+	m.held.Store(h)
+}
+
+func (m *Member) runVoter() {
+	defer m.done.Done()
+	if !m.self.Voter {
+		m.refuse()
+		return
+	}
+	tick := time.NewTicker(m.o.Settings.Election / 20)
+	defer tick.Stop()
+	reviveAt := time.Now().Add(reviveEach)
+	for {
+		if m.voter != nil {
+			for _, o := range m.voter.Take() {
+				m.route(o.To, o.Frame)
+			}
+		}
+		select {
+		case <-m.ctx.Done():
+			return
+		case in := <-m.toVoter:
+			m.takeVoter(in)
+			for range len(m.toVoter) {
+				m.takeVoter(<-m.toVoter)
+			}
+		case <-tick.C:
+		}
+		if m.voter == nil && time.Now().After(reviveAt) {
+			m.revive()
+			reviveAt = time.Now().Add(reviveEach)
+		}
+		if m.voter != nil {
+			m.voter.Tick(m.now())
+		}
+	}
+}
+
+// revive tries a log again that could not be opened.
+func (m *Member) revive() {
+	log, err := disk.Open(m.o.Files, m.o.Room, m.self.Name)
+	if err != nil {
+		return
+	}
+	if m.voter, err = m.newVoter(log); err == nil {
+		m.noteVoter("the log can be opened now", nil)
+	}
+}
+
+func (m *Member) takeVoter(in input) {
+	switch {
+	case in.call != nil:
+		in.call()
+	case m.voter != nil:
+		m.voter.Receive(in.from, in.frame, m.now())
+	case in.frame.GetAsk() != nil && in.frame.GetAsk().Found == nil:
+		m.route(in.from, notLeading(in.frame.GetAsk().Id))
+	}
+}
+
+// refuse answers asks at a member that is no voter.
+func (m *Member) refuse() {
+	for {
+		select {
+		case <-m.ctx.Done():
+			return
+		case in := <-m.toVoter:
+			if in.call != nil {
+				in.call()
+			} else if a := in.frame.GetAsk(); a != nil {
+				m.route(in.from, notLeading(a.Id))
+			}
+		}
+	}
+}
+
+func notLeading(id uint64) *pb.Frame {
+	return &pb.Frame{What: &pb.Frame_Answer{Answer: &pb.Answer{Id: id, NotLeader: true}}}
+}
+
+// Held returns the fencing token of a duty that is held at this moment, 0 if it is not. It is to be asked
+// immediately before each act. It waits for nothing.
+func (m *Member) Held(duty string) uint64 {
+	if m == nil {
+		return 0
+	}
+	h := m.held.Load()
+	if t := h.tokens[duty]; t != 0 && m.now() < h.until {
+		return t
+	}
+	return 0
+}
+
+// Live reports whether this member's session holds at this moment: whether the fleet can be relied on.
+func (m *Member) Live() bool { return m != nil && m.now() < m.held.Load().until }
+
+// own runs f on the session's loop, in order, and waits for nothing. What is asked is bounded by the duties that
+// callers name, each of which is asked about when something happens to its partner.
+func (m *Member) own(f func()) {
+	m.wishes.mu.Lock()
+	full := len(m.wishes.list) >= wishesMost
+	if !full {
+		m.wishes.list = append(m.wishes.list, f)
+	}
+	m.wishes.mu.Unlock()
+	select {
+	case m.wishes.kick <- struct{}{}:
+	default:
+	}
+}
+
+type wishes struct {
+	mu   sync.Mutex
+	list []func()
+	kick chan struct{}
+}
+
+func (w *wishes) take() []func() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	list := w.list
+	w.list = nil
+	return list
+}
+
+// Want puts this member in line for a duty. It waits for nothing.
+func (m *Member) Want(duty, zone string) { m.own(func() { m.session.Want(duty, zone) }) }
+
+// Leave gives a duty up; with end it is over for everybody. It waits for nothing.
+func (m *Member) Leave(duty string, end bool) { m.own(func() { m.session.Leave(duty, end) }) }
+
+// Say tells everybody who watches a word about a duty that this member holds.
+func (m *Member) Say(name, word string) {
+	m.own(func() {
+		if t := m.session.Held(name, m.now()); t != 0 {
+			m.session.Do(&pb.Ask{Command: &pb.Command{What: &pb.Command_Say{Say: &pb.Say{Session: m.session.ID(), Duty: name, Token: t, Word: word}}}},
+				m.o.Settings.Terms.Length, func(*pb.Answer, error) {})
+		}
+	})
+}
+
+// call answers an operator's command, at any member.
+func (m *Member) call(ctx context.Context, a *pb.Ask) (*pb.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, callFor)
+	defer cancel()
+	answers := make(chan *pb.Answer, 2)
+	if a.Status != nil && m.self.Voter {
+		m.look(ctx, answers)
+	} else {
+		m.forward(ctx, a, answers)
+	}
+	select {
+	case r := <-answers:
+		return r, nil
+	case <-ctx.Done():
+		return nil, session.ErrNoQuorum
+	}
+}
+
+func (m *Member) look(ctx context.Context, answers chan<- *pb.Answer) {
+	f := func() {
+		r := &pb.Answer{}
+		if m.voter != nil {
+			r.Status, r.Leader = m.voter.Status(), m.voter.Leader()
+		} else {
+			b, _ := json.Marshal(voter.Status{Asked: m.self.Name, Failed: "its log cannot be opened"})
+			r.Status = string(b)
+		}
+		answers <- r
+	}
+	select {
+	case m.toVoter <- input{call: f}:
+	case <-ctx.Done():
+	}
+}
+
+func (m *Member) forward(ctx context.Context, a *pb.Ask, answers chan<- *pb.Answer) {
+	f := func() {
+		m.session.Do(a, callFor-200*time.Millisecond, func(r *pb.Answer, err error) {
+			if r == nil {
+				r = &pb.Answer{Error: err.Error()}
+			}
+			answers <- r
+		})
+	}
+	select {
+	case m.toOwn <- input{call: f}:
+	case <-ctx.Done():
+	}
+}
+
+// aside has a voter that leads hand that on, and waits until it has, for a bounded time.
+func (m *Member) aside() {
+	if !m.self.Voter {
+		return
+	}
+	ctx, cancel := context.WithTimeout(m.ctx, asideFor)
+	defer cancel()
+	leads := make(chan bool, 1)
+	for again := false; ; again = true {
+		f := func() {
+			if m.voter != nil && !again {
+				m.voter.Aside()
+			}
+			leads <- m.voter != nil && m.voter.Leads()
+		}
+		select {
+		case m.toVoter <- input{call: f}:
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case still := <-leads:
+			if !still {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case <-time.After(asideFor / 20):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// Close gives everything up, waits for the fleet to take note for a bounded time, and ends the links.
+func (m *Member) Close() {
+	if m == nil {
+		return
+	}
+	m.aside()
+	m.own(func() { m.session.Close(m.now()) })
+	select {
+	case <-m.closed:
+	case <-time.After(closeFor):
+	}
+	m.cancel()
+	m.net.Close()
+	m.done.Wait()
+}
--- /dev/null
+++ b/internal/fleet/link/link.go
@@ -0,0 +1,320 @@
+// Package link carries frames between the members of a fleet: one gRPC stream for each pair of a voter and another
+// member, over one connection. Of two voters the one whose name sorts first dials; every other member dials the
+// voters, and the voters dial nobody else. A link that says nothing for a while is closed, connection and all, and
+// dialled anew: a cut in one direction is then a cut in both.
+//
+// Nothing waits for a link: what finds its bounded queue full, or no link, is dropped, and whoever needs an answer
+// asks again.
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	"sliptide/internal/fleet/pb"
+)
+
+const (
+	queueMost  = 256     // frames that wait on a link
+	frameMost  = 8 << 20 // bytes of a frame
+	linksMost  = 1100    // links that a voter accepts
+	pingEvery  = 250 * time.Millisecond
+	silentMost = 1500 * time.Millisecond // a link that says nothing for so long is closed
+	dialLeast  = 50 * time.Millisecond   // before a further try, doubled up to
+	dialMost   = time.Second
+)
+
+// Options are what a Net works with.
+type Options struct {
+	Self        string
+	Incarnation uint64
+	Settings    uint64            // hash of what must be alike at both ends
+	Dial        map[string]string // members that this one dials, with their addresses
+	Known       func(name string) bool
+	Client      *tls.Config // nil: no TLS
+	Server      *tls.Config
+	// Receive takes a frame; it may wait for a short time, as long as ctx goes on.
+	Receive func(ctx context.Context, from string, f *pb.Frame)
+	// Call answers an operator's command.
+	Call func(ctx context.Context, a *pb.Ask) (*pb.Answer, error)
+	Note func(what, member string, err error) // a change of state, for the log
+}
+
+// Net is a member's links.
+type Net struct {
+	pb.UnimplementedLinksServer
+	o      Options
+	server *grpc.Server
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+
+	mu    sync.Mutex
+	links map[string]*link
+}
+
+type link struct {
+	queue  chan *pb.Frame
+	cancel context.CancelFunc
+}
+
+// stream is either end of one.
+type stream interface {
+	Send(*pb.Frame) error
+	Recv() (*pb.Frame, error)
+}
+
+// New returns a Net, and dials.
+func New(o Options) *Net {
+	n := &Net{o: o, links: map[string]*link{}}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	opts := []grpc.ServerOption{grpc.MaxRecvMsgSize(frameMost), grpc.MaxConcurrentStreams(16), grpc.ConnectionTimeout(2 * time.Second),
+		grpc.ReadBufferSize(4 << 10), grpc.WriteBufferSize(4 << 10)}
+	if o.Server != nil {
+		opts = append(opts, grpc.Creds(credentials.NewTLS(o.Server)))
+	}
+	n.server = grpc.NewServer(opts...)
+	pb.RegisterLinksServer(n.server, n)
+	for name, addr := range o.Dial {
+		n.done.Add(1)
+		go n.dial(name, addr)
+	}
+	return n
+}
+
+// Serve accepts links until Close.
+func (n *Net) Serve(ln net.Listener) error { return n.server.Serve(ln) }
+
+// Close ends all links. What is queued is given a moment.
+func (n *Net) Close() {
+	n.cancel()
+	n.server.Stop()
+	n.done.Wait()
+}
+
+// Send queues a frame for a member. It never waits.
+func (n *Net) Send(to string, f *pb.Frame) {
+	n.mu.Lock()
+	l := n.links[to]
+	n.mu.Unlock()
+	if l == nil {
+		return
+	}
+	select {
+	case l.queue <- f:
+	default:
+	}
+}
+
+// Linked are the members that a link is up to.
+func (n *Net) Linked() (names []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for name := range n.links {
+		names = append(names, name)
+	}
+	return names
+}
+
+func (n *Net) dial(name, addr string) {
+	defer n.done.Done()
+	pause := dialLeast
+	told := false
+	for n.ctx.Err() == nil {
+		began := time.Now()
+		err := n.reach(name, addr)
+		if time.Since(began) > 2*silentMost {
+			pause, told = dialLeast, false
+		}
+		if !told && n.ctx.Err() == nil {
+			n.o.Note("link down", name, err)
+			told = true
+		}
+		select {
+		case <-n.ctx.Done():
+		case <-time.After(pause/2 + rand.N(pause)):
+		}
+		pause = min(2*pause, dialMost)
+	}
+}
+
+// reach keeps a link to a member up for as long as it goes.
+func (n *Net) reach(name, addr string) error {
+	conn, err := Dial(addr, n.o.Client)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithCancel(n.ctx)
+	defer cancel()
+	up := time.AfterFunc(silentMost, cancel)
+	st, err := pb.NewLinksClient(conn).Link(ctx)
+	if err != nil {
+		return err
+	}
+	if err := st.Send(n.hello()); err != nil {
+		return err
+	}
+	first, err := st.Recv()
+	if err != nil {
+		return err
+	}
+	up.Stop()
+	h := first.GetHello()
+	if h == nil || h.Member != name {
+		return fmt.Errorf("at %s is %q, not %q", addr, h.GetMember(), name)
+	}
+	return n.run(ctx, cancel, name, st)
+}
+
+// Dial returns a connection to the member at addr, which comes up when it is used.
+func Dial(addr string, with *tls.Config) (*grpc.ClientConn, error) {
+	creds := insecure.NewCredentials()
+	if with != nil {
+		creds = credentials.NewTLS(with)
+	}
+	return grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(creds),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(frameMost)), grpc.WithReadBufferSize(4<<10), grpc.WithWriteBufferSize(4<<10),
+		grpc.WithNoProxy(), grpc.WithDisableServiceConfig(),
+		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: silentMost, Backoff: backoff.Config{BaseDelay: dialLeast, Multiplier: 2, Jitter: 0.2, MaxDelay: dialMost}}))
+}
+
+func (n *Net) hello() *pb.Frame {
+	return &pb.Frame{What: &pb.Frame_Hello{Hello: &pb.Hello{Member: n.o.Self, Settings: n.o.Settings, Incarnation: n.o.Incarnation}}}
+}
+
+var errFull = errors.New("no more links are taken")
+
+// Link accepts a link.
+func (n *Net) Link(st grpc.BidiStreamingServer[pb.Frame, pb.Frame]) error {
+	ctx, cancel := context.WithCancel(st.Context())
+	defer cancel()
+	stop := context.AfterFunc(n.ctx, cancel)
+	defer stop()
+	first := make(chan *pb.Frame, 1)
+	go func() {
+		if f, err := st.Recv(); err == nil {
+			first <- f
+		}
+		close(first)
+	}()
+	var h *pb.Hello
+	select {
+	case f := <-first:
+		h = f.GetHello()
+	case <-time.After(silentMost):
+	case <-ctx.Done():
+	}
+	if err := n.welcome(h); err != nil {
+		n.o.Note("link refused", h.GetMember(), err)
+		return status.Error(codes.FailedPrecondition, err.Error())
+	}
+	if err := st.Send(n.hello()); err != nil {
+		return err
+	}
+	return n.run(ctx, cancel, h.Member, st)
+}
+
+func (n *Net) welcome(h *pb.Hello) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch {
+	case h == nil:
+		return errors.New("no word of who calls")
+	case h.Member == n.o.Self:
+		return fmt.Errorf("a second process runs as %q", h.Member)
+	case !n.o.Known(h.Member):
+		return fmt.Errorf("%q is no member of this fleet", h.Member)
+	case h.Settings != n.o.Settings:
+		return fmt.Errorf("%q has other fleet settings: voters, lease and drift must be alike in all operators' files", h.Member)
+	case len(n.links) >= linksMost:
+		return errFull
+	}
+	return nil
+}
+
+// run carries frames until the link goes down; a later link to the same member takes its place.
+func (n *Net) run(ctx context.Context, cancel context.CancelFunc, name string, st stream) error {
+	l := &link{queue: make(chan *pb.Frame, queueMost), cancel: cancel}
+	n.mu.Lock()
+	if old := n.links[name]; old != nil {
+		old.cancel()
+	}
+	n.links[name] = l
+	n.mu.Unlock()
+	n.o.Note("link up", name, nil)
+	defer func() {
+		n.mu.Lock()
+		if n.links[name] == l {
+			delete(n.links, name)
+		}
+		n.mu.Unlock()
+	}()
+	errs := make(chan error, 2)
+	n.done.Add(1)
+	go func() {
+		defer n.done.Done()
+		errs <- n.write(ctx, l, st)
+		cancel()
+	}()
+	silent := time.AfterFunc(silentMost, cancel)
+	defer silent.Stop()
+	go func() { errs <- n.read(ctx, name, st, silent) }()
+	select {
+	case err := <-errs:
+		cancel()
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (n *Net) read(ctx context.Context, name string, st stream, silent *time.Timer) error {
+	for {
+		f, err := st.Recv()
+		if err != nil {
+			return err
+		}
+		silent.Reset(silentMost)
+		if f.GetPing() == nil {
+			n.o.Receive(ctx, name, f)
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
+
+func (n *Net) write(ctx context.Context, l *link, st stream) error {
+	ping := time.NewTicker(pingEvery)
+	defer ping.Stop()
+	for {
+		var f *pb.Frame
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case f = <-l.queue:
+		case <-ping.C:
+			f = &pb.Frame{What: &pb.Frame_Ping{Ping: &pb.Ping{}}}
+		}
+		if err := st.Send(f); err != nil {
+			return err
+		}
+	}
+}
+
+// Call answers an operator's command.
+func (n *Net) Call(ctx context.Context, a *pb.Ask) (*pb.Answer, error) { return n.o.Call(ctx, a) }
--- /dev/null
+++ b/internal/fleet/model/flags_test.go
@@ -0,0 +1,6 @@
+package model
+
+import "flag"
+
+// setFlag sets a flag of the test binary, as if it stood on its command line.
+func setFlag(name, value string) error { return flag.Set(name, value) }
--- /dev/null
+++ b/internal/fleet/model/model_test.go
@@ -0,0 +1,157 @@
+package model
+
+import (
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sliptide/internal/fleet/lease"
+	"sliptide/internal/fleet/session"
+	"sliptide/internal/fleet/voter"
+)
+
+const drift = 0.05
+
+func options(seed uint64) Options {
+	return Options{Voters: 3, Members: 2, Duties: 2, Terms: lease.Terms{Length: 2 * time.Second, Drift: drift},
+		Election: 500 * time.Millisecond, Drift: drift, Seed: seed}
+}
+
+// schedule draws faults that overlap, over half a minute.
+func schedule(t *rapid.T, most int) []Fault {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Fault {
+		return Fault{
+			Kind: FaultKind(rapid.IntRange(0, int(Faults)-1).Draw(t, "kind")),
+			At:   time.Duration(rapid.IntRange(3000, 30000).Draw(t, "at")) * time.Millisecond,
+			For:  time.Duration(rapid.IntRange(50, 8000).Draw(t, "for")) * time.Millisecond,
+			Who:  rapid.IntRange(0, 4).Draw(t, "who"),
+			With: rapid.IntRange(0, 4).Draw(t, "with"),
+		}
+	}), 0, most).Draw(t, "faults")
+}
+
+// TestNoTwoHolders plays schedules of faults that are drawn at random. SLIPTIDE_SCHEDULES sets how many.
+func TestNoTwoHolders(t *testing.T) {
+	checks(t, 40)
+	rapid.Check(t, func(t *rapid.T) {
+		w := New(options(rapid.Uint64().Draw(t, "seed")))
+		w.Schedule(schedule(t, 12))
+		w.Run(30 * time.Second)
+		if w.Breach != "" {
+			t.Fatal(w.Breach)
+		}
+		// All faults are over after 38 s; within 12 more, every duty has a holder again.
+		w.Run(50 * time.Second)
+		if w.Breach != "" {
+			t.Fatal(w.Breach)
+		}
+		if !w.Held() {
+			t.Fatal("a duty has no holder 12 s after the last fault")
+		}
+	})
+}
+
+// TestSoonHeld: a fleet that starts has a holder for each duty within the time of an election and a few asks.
+func TestSoonHeld(t *testing.T) {
+	w := New(options(1))
+	w.Run(4 * time.Second)
+	if !w.Held() || w.Breach != "" {
+		t.Errorf("after 4 s: held %v, breach %q", w.Held(), w.Breach)
+	}
+}
+
+func checks(t *testing.T, few int) {
+	n, err := strconv.Atoi(os.Getenv("SLIPTIDE_SCHEDULES"))
+	if err != nil {
+		n = few
+	}
+	if err := setFlag("rapid.checks", strconv.Itoa(n)); err != nil {
+		t.Fatal(err)
+	}
+	setFlag("rapid.nofailfile", "true")
+}
+
+// TestGuards takes each guard out in turn: some schedule must show it.
+func TestGuards(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*Options)
+		faults func(i int) []Fault
+	}{
+		{"lease counted from the answer", func(o *Options) { o.BreakSession = session.BreakSent }, lossy},
+		{"no margin for drift", func(o *Options) { o.BreakSession, o.BreakVoter = session.BreakMargin, voter.BreakMargin }, cutOff},
+		{"no check of the lease before the act", func(o *Options) { o.BreakSession = session.BreakCheck }, cutOff},
+		{"renewals acknowledged without a majority's word", func(o *Options) { o.BreakVoter = voter.BreakConfirm }, deposed},
+		{"a new leader gives no whole lease", func(o *Options) { o.BreakVoter = voter.BreakReset }, leaderKilled},
+		{"tokens not refused by the resource", func(o *Options) { o.NoRefuse = true }, stopped},
+		{"what was synced is lost", func(o *Options) { o.Forget = true }, allKilled},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for i := range 300 {
+				o := options(uint64(i))
+				c.change(&o)
+				w := New(o)
+				w.Schedule(c.faults(i))
+				w.Run(40 * time.Second)
+				if w.Breach != "" {
+					t.Logf("found by schedule %d: %s", i, w.Breach)
+					return
+				}
+			}
+			t.Error("no schedule of 300 finds that the guard is out")
+		})
+	}
+}
+
+func lossy(i int) (list []Fault) {
+	list = append(list, Fault{Kind: Loss, At: 2 * time.Second, For: 36 * time.Second})
+	return append(list, stopped(i)...)
+}
+
+func cutOff(i int) (list []Fault) {
+	for k := range 5 {
+		list = append(list, Fault{Kind: CutOff, Who: (i + k) % 5, At: time.Duration(3+6*k) * time.Second, For: 4 * time.Second})
+	}
+	return list
+}
+
+// deposed leaves a voter that leads with a member that it can renew, and without the others.
+func deposed(i int) (list []Fault) {
+	for k := range 4 {
+		at := time.Duration(3+8*k) * time.Second
+		lead := (i + k) % 3
+		for v := range 3 {
+			if v != lead {
+				list = append(list, Fault{Kind: Cut, Who: lead, With: v, At: at, For: 6 * time.Second},
+					Fault{Kind: Cut, Who: 3 + i%2, With: v, At: at, For: 6 * time.Second})
+			}
+		}
+	}
+	return list
+}
+
+func leaderKilled(i int) (list []Fault) {
+	for k := range 8 {
+		list = append(list, Fault{Kind: Kill, Who: (i + k) % 3, At: time.Duration(3+4*k)*time.Second + time.Duration(i*37)*time.Millisecond, For: time.Second})
+	}
+	return list
+}
+
+func stopped(i int) (list []Fault) {
+	for k := range 6 {
+		list = append(list, Fault{Kind: Stop, Who: (i + k) % 5, At: time.Duration(3+5*k)*time.Second + time.Duration(i*7)*time.Millisecond, For: 4 * time.Second})
+	}
+	return list
+}
+
+func allKilled(i int) (list []Fault) {
+	list = stopped(i)
+	for k := range 5 {
+		list = append(list, Fault{Kind: KillAll, At: time.Duration(4+6*k) * time.Second, For: 100 * time.Millisecond})
+	}
+	return list
+}
--- a/internal/fsys/faulty.go
+++ b/internal/fsys/faulty.go
@@ -78,6 +78,20 @@
 	return fault.Err
 }
 
+// Append implements FS.
+func (f *Faulty) Append(name string, data []byte, sync bool) error {
+	fault := f.next("append", name)
+	switch {
+	case fault.Err == nil:
+		return f.FS.Append(name, data, sync)
+	case fault.After:
+		f.FS.Append(name, data, sync)
+	case fault.Bytes >= 0:
+		f.FS.Append(name, data[:min(fault.Bytes, len(data))], false)
+	}
+	return fault.Err
+}
+
 // Rename implements FS.
 func (f *Faulty) Rename(from, to string) error {
 	return f.do("rename", to, func() error { return f.FS.Rename(from, to) })
--- a/internal/fsys/fsys.go
+++ b/internal/fsys/fsys.go
@@ -17,6 +17,9 @@
 	// Write creates or replaces a file in place; with sync it reaches the disk. After an error the
 	// file may hold any part of data.
 	Write(name string, data []byte, sync bool) error
+	// Append adds to the end of a file, which it creates where there is none; with sync it reaches the disk.
+	// After an error the file may end with any part of data.
+	Append(name string, data []byte, sync bool) error
 	// Rename puts a file, or a folder, in the place of another file.
 	Rename(from, to string) error
 	// Link gives a file a further name, in the place of whatever has it.
@@ -50,6 +53,19 @@
 	return errors.Join(err, f.Close())
 }
 
+// Append implements FS.
+func (o OS) Append(name string, data []byte, sync bool) error {
+	f, err := os.OpenFile(o.path(name), os.O_WRONLY|os.O_CREATE|os.O_APPEND, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(data)
+	if err == nil && sync {
+		err = f.Sync()
+	}
+	return errors.Join(err, f.Close())
+}
+
 // Rename implements FS.
 func (o OS) Rename(from, to string) error { return os.Rename(o.path(from), o.path(to)) }
 
--- /dev/null
+++ b/internal/operator/fleet.go
@@ -0,0 +1,193 @@
+package operator
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sliptide/internal/strictxml"
+)
+
+// Fleet sets how senders act together. Off, each is alone.
+type Fleet struct {
+	Enabled       bool
+	Listen        string // where this member takes links; empty: its address in Members
+	Minimum       int    // voters that must see each other to found the group; 0: all
+	Weight        int    // of this member, for how many duties it gets
+	CA, Cert, Key string
+	Members       []Member
+	Duties        Duties
+	Trials        Trials
+}
+
+// Member is one sender of the fleet, by its RELAY_NAME.
+type Member struct {
+	Name, Addr, Zone string
+	Voter            bool
+}
+
+// Duties sets how long a member may rely on what it holds.
+type Duties struct {
+	Lease    time.Duration
+	Drift    float64 // share by which a clock may run fast or slow
+	Election time.Duration
+}
+
+// Trials sets whether one member makes the first calls to a partner that is down.
+type Trials struct {
+	Enabled bool
+	Bound   time.Duration // the others wait so long for its word
+}
+
+// Voters are the members that vote.
+func (f *Fleet) Voters() (list []Member) {
+	for _, m := range f.Members {
+		if m.Voter {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// Hash is of what must be alike in the files of all members: who votes, the lease, drift and election. Addresses
+// may change one file at a time.
+func (f *Fleet) Hash() uint64 {
+	var b strings.Builder
+	for _, m := range f.Voters() {
+		fmt.Fprintf(&b, "%s;", m.Name)
+	}
+	fmt.Fprintf(&b, "%v;%v;%v;%v", f.Duties.Lease, f.Duties.Drift, f.Duties.Election, f.Minimum)
+	return xxhash.Sum64String(b.String())
+}
+
+// fleetSpec is the element.
+func fleetSpec() element {
+	last := func(f *File) *Member { return &f.Fleet.Members[len(f.Fleet.Members)-1] }
+	path := strictxml.Text("[!-~]{1,1000}", "a path without blanks")
+	addr := strictxml.Text(`[0-9A-Za-z.:\[\]-]{3,80}`, "an IP address and a port, such as 127.0.0.1:7101")
+	name := strictxml.Text("[0-9A-Za-z_.-]{1,64}", "letters, digits, dots, dashes and underscores, 64 at most")
+	return element{
+		Name: "fleet", Doc: "Senders that act together: duties that one of them holds at a time.",
+		Attrs: []attribute{{
+			Name: "enabled", Fallback: "false", Values: strictxml.OneOf("false", "true"), Doc: "Switches the part on.",
+			Put: func(f *File, v int64) { f.Fleet.Enabled = v == 1 },
+		}, {
+			Name: "listen", Values: addr, Doc: "Where this member takes links; else its own addr below.",
+			Text: func(f *File, v string) { f.Fleet.Listen = v },
+		}, {
+			Name: "voter-minimum", Values: strictxml.Whole(2, 5), Doc: "Voters that must see each other once, at the founding; else all. More than half of them.",
+			Put: func(f *File, v int64) { f.Fleet.Minimum = int(v) },
+		}, {
+			Name: "weight", Fallback: "1", Values: strictxml.Whole(1, 100), Doc: "How many duties this member gets, beside the others.",
+			Put: func(f *File, v int64) { f.Fleet.Weight = int(v) },
+		}, {
+			Name: "ca", Values: path, Doc: "CA certificates in PEM that the members' own are signed by. With cert and key: links use TLS both ways.",
+			Text: func(f *File, v string) { f.Fleet.CA = v },
+		}, {
+			Name: "cert", Values: path, Doc: "This member's certificate in PEM.",
+			Text: func(f *File, v string) { f.Fleet.Cert = v },
+		}, {
+			Name: "key", Values: path, Doc: "Its key in PEM, which nobody else may read.",
+			Text: func(f *File, v string) { f.Fleet.Key = v },
+		}},
+		Children: []element{{
+			Name: "member", Doc: "One sender of the fleet; all members' files list the same voters.", Repeated: true, Unique: "name",
+			Add: func(f *File) { f.Fleet.Members = append(f.Fleet.Members, Member{}) },
+			Attrs: []attribute{{
+				Name: "name", Required: true, Values: name, Doc: "Its RELAY_NAME.",
+				Text: func(f *File, v string) { last(f).Name = v },
+			}, {
+				Name: "addr", Required: true, Values: addr, Doc: "Where it takes links.",
+				Text: func(f *File, v string) { last(f).Addr = v },
+			}, {
+				Name: "zone", Values: name, Doc: "The building that it stands in.",
+				Text: func(f *File, v string) { last(f).Zone = v },
+			}, {
+				Name: "voter", Fallback: "false", Values: strictxml.OneOf("false", "true"), Doc: "It keeps the log and votes. 3 or 5 members do.",
+				Put: func(f *File, v int64) { last(f).Voter = v == 1 },
+			}},
+		}, {
+			Name: "duties", Doc: "How long a member may rely on what it holds.",
+			Attrs: []attribute{{
+				Name: "lease", Fallback: "2s", Values: strictxml.Between(200*time.Millisecond, time.Minute), Doc: "A holder that is cut off or stopped gives up within it; at least twice the election time.",
+				Put: func(f *File, v int64) { f.Fleet.Duties.Lease = time.Duration(v) },
+			}, {
+				Name: "drift", Fallback: "0.05", Values: strictxml.OneOf("0.01", "0.02", "0.05", "0.1", "0.2"), Doc: "The share by which a member's clock may run fast or slow.",
+				Put: func(f *File, v int64) { f.Fleet.Duties.Drift = []float64{0.01, 0.02, 0.05, 0.1, 0.2}[v] },
+			}, {
+				Name: "election", Fallback: "500ms", Values: strictxml.Between(100*time.Millisecond, 20*time.Second), Doc: "A voter that hears nothing of a leader for so long asks to lead.",
+				Put: func(f *File, v int64) { f.Fleet.Duties.Election = time.Duration(v) },
+			}},
+		}, {
+			Name: "trials", Doc: "One member makes the first calls to a partner that is down; the others wait for its word. Needs storms.",
+			Attrs: []attribute{{
+				Name: "enabled", Fallback: "false", Values: strictxml.OneOf("false", "true"), Doc: "Switches the part on.",
+				Put: func(f *File, v int64) { f.Fleet.Trials.Enabled = v == 1 },
+			}, {
+				Name: "bound", Fallback: "4s", Values: strictxml.Between(500*time.Millisecond, time.Minute), Doc: "Without a word for so long, a member tries by itself, as without a fleet.",
+				Put: func(f *File, v int64) { f.Fleet.Trials.Bound = time.Duration(v) },
+			}},
+		}},
+	}
+}
+
+// check finds what a schema cannot say.
+func (f *Fleet) check(storms bool) string {
+	if !f.Enabled {
+		return ""
+	}
+	voters := len(f.Voters())
+	switch {
+	case voters != 3 && voters != 5:
+		return fmt.Sprintf("fleet: %d members have voter=\"true\"; allowed: 3 or 5, so that a majority stays when one or two are lost", voters)
+	case f.Minimum != 0 && (f.Minimum > voters || 2*f.Minimum <= voters):
+		return fmt.Sprintf("fleet: voter-minimum=\"%d\" of %d voters; allowed: %d to %d", f.Minimum, voters, voters/2+1, voters)
+	case len(f.Members) > 1000:
+		return fmt.Sprintf("fleet: %d members; allowed: 1000 at most", len(f.Members))
+	case f.Duties.Lease < 2*f.Duties.Election:
+		return fmt.Sprintf("fleet: duties: lease=%q is shorter than two election times of %v; allowed: %v or more, or each election would end every lease", f.Duties.Lease, f.Duties.Election, 2*f.Duties.Election)
+	case (f.Cert == "") != (f.Key == "") || (f.Cert == "") != (f.CA == ""):
+		return "fleet: ca, cert and key go together"
+	case f.Trials.Enabled && !storms:
+		return "fleet: trials need <storms enabled=\"true\"/>, which sees that a partner is down"
+	}
+	used := map[string]string{}
+	for _, m := range f.Members {
+		if bad := checkAddr(m.Addr, f.Cert != ""); bad != "" {
+			return fmt.Sprintf("fleet: member %q: addr=%q: %s", m.Name, m.Addr, bad)
+		}
+		if other := used[m.Addr]; other != "" {
+			return fmt.Sprintf("fleet: members %q and %q both have addr=%q; allowed: one each", other, m.Name, m.Addr)
+		}
+		used[m.Addr] = m.Name
+	}
+	if f.Listen != "" {
+		if bad := checkAddr(f.Listen, f.Cert != ""); bad != "" {
+			return fmt.Sprintf("fleet: listen=%q: %s", f.Listen, bad)
+		}
+	}
+	return ""
+}
+
+// checkAddr finds what is wrong with an address. Without keys, whoever reaches it could speak as a member.
+func checkAddr(addr string, keys bool) string {
+	host, port, err := net.SplitHostPort(addr)
+	ip, bad := netip.ParseAddr(host)
+	switch {
+	case err != nil || bad != nil || port == "" || port == "0":
+		return "allowed: an IP address and a port, such as 127.0.0.1:7101"
+	case !keys && !ip.IsLoopback() && !ip.IsPrivate():
+		return "without ca, cert and key links are open to whoever reaches them; allowed: loopback and private addresses, or keys"
+	}
+	return ""
+}
+
+// Has reports whether a member has that name.
+func (f *Fleet) Has(name string) bool {
+	return slices.ContainsFunc(f.Members, func(m Member) bool { return m.Name == name })
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -23,6 +23,7 @@
 	Storms    Storms
 	Telemetry Telemetry
 	Partners  []Partner
+	Fleet     Fleet
 }
 
 // Telemetry sets how traces and metrics go to a collector. Empty texts: as the environment says.
@@ -127,7 +128,7 @@
 	if err := f.check(path); err != nil {
 		return nil, err
 	}
-	for _, name := range []*string{&f.Telemetry.CA, &f.Telemetry.Cert, &f.Telemetry.Key} {
+	for _, name := range []*string{&f.Telemetry.CA, &f.Telemetry.Cert, &f.Telemetry.Key, &f.Fleet.CA, &f.Fleet.Cert, &f.Fleet.Key} {
 		if *name != "" && !filepath.IsAbs(*name) {
 			*name = filepath.Join(filepath.Dir(path), *name)
 		}
@@ -166,6 +167,9 @@
 	if (f.Telemetry.Cert == "") != (f.Telemetry.Key == "") {
 		return &Error{File: name, What: "telemetry: cert and key go together"}
 	}
+	if bad := f.Fleet.check(f.Storms.Enabled); bad != "" {
+		return &Error{File: name, What: bad}
+	}
 	for _, p := range f.Partners {
 		bad := ""
 		switch withTLS := p.Protocol == TLS || p.Protocol == H2; {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -16,6 +16,32 @@
 
 const schemaFile = "../../deploy/sliptide.xsd"
 
+const voters3 = `<member name="n1" addr="127.0.0.1:1" voter="true"/><member name="n2" addr="10.0.0.2:1" zone="b" voter="true"/><member name="n3" addr="[::1]:1" voter="true"/>`
+
+func fleetOf(duties, members string) string {
+	return `<sliptide version="1"><fleet enabled="true">` + members + `<duties ` + duties + `/></fleet></sliptide>`
+}
+
+// TestFleetThatMakesNoSense: one line says what, where and what is allowed. A schema cannot tell these.
+func TestFleetThatMakesNoSense(t *testing.T) {
+	for name, c := range map[string]struct{ text, want string }{
+		"no voters":         {fleetOf(``, ``), "allowed: 3 or 5"},
+		"even":              {fleetOf(``, voters3+`<member name="n4" addr="127.0.0.1:4" voter="true"/>`), "4 members have voter"},
+		"one address":       {fleetOf(``, voters3+`<member name="n4" addr="127.0.0.1:1"/>`), `"n1" and "n4" both have`},
+		"public address":    {fleetOf(``, voters3+`<member name="n4" addr="203.0.113.9:1"/>`), "without ca, cert and key"},
+		"no port":           {fleetOf(``, voters3+`<member name="n4" addr="127.0.0.1"/>`), "an IP address and a port"},
+		"lease too short":   {fleetOf(`lease="900ms"`, voters3), "shorter than two election times"},
+		"minimum too small": {strings.Replace(fleetOf(``, voters3+`<member name="n4" addr="127.0.0.1:4" voter="true"/><member name="n5" addr="127.0.0.1:5" voter="true"/>`), `enabled="true"`, `enabled="true" voter-minimum="2"`, 1), "allowed: 3 to 5"},
+		"key without cert":  {strings.Replace(fleetOf(``, voters3), `enabled="true"`, `enabled="true" key="/k"`, 1), "go together"},
+		"trials, no storms": {strings.Replace(fleetOf(``, voters3), `<duties`, `<trials enabled="true"/><duties`, 1), "trials need"},
+	} {
+		_, err := Read("f.xml", strings.NewReader(c.text))
+		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v, want %q", name, err, c.want)
+		}
+	}
+}
+
 // What a table row holds of the root element, and what Read says of it: empty if it is fine.
 var files = []struct{ name, text, want string }{
 	{"empty root", `<sliptide version="1"/>`, ""},
@@ -36,6 +62,9 @@
 	{"bad name", `<sliptide version="1"><partners><partner dest="1" protocol="h2" server-name="a b"/></partners></sliptide>`, "a host name"},
 	{"empty path", `<sliptide version="1"><partners><partner dest="1" protocol="h2" ca=""/></partners></sliptide>`, "a path"},
 	{"no connections", `<sliptide version="1"><partners><partner dest="1" protocol="h2" max-connections="0"/></partners></sliptide>`, "from 1 to 64"},
+	{"fleet", fleetOf(`lease="1s" drift="0.1"`, voters3), ""},
+	{"fleet off", `<sliptide version="1"><fleet><member name="a" addr="8.8.8.8:1"/></fleet></sliptide>`, ""},
+	{"two with one name", fleetOf(``, voters3+`<member name="n1" addr="127.0.0.1:9"/>`), "stands twice"},
 	{"nothing", ``, "<sliptide>"},
 	{"other root", `<config version="1"/>`, "root element <config>"},
 	{"no version", `<sliptide/>`, "lacks version"},
--- a/internal/operator/spec.go
+++ b/internal/operator/spec.go
@@ -147,7 +147,7 @@
 		}, {
 			Name: "partners", Doc: "Partners that are not reached by plain HTTP/1.1.",
 			Children: []element{partnerSpec()},
-		}},
+		}, fleetSpec()},
 	}
 }
 
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -77,6 +77,7 @@
 	takeOver *takeOver
 	stop     bool
 	handOver bool
+	kick     bool // there is news of the fleet
 }
 
 // outOrder takes an endpoint out by hand, or puts it back.
@@ -158,6 +159,7 @@
 	now    float64
 	memory memory
 	guard  *storm.Guard
+	trials *trials // nil: no fleet
 	watch  watcher
 
 	msgs    map[uint64]*message // taken on and not over, and not waiting for a notice
@@ -485,6 +487,7 @@
 			s.noteCall(c)
 		}
 		s.guard.Outcome(s.now, e)
+		s.tried(c.Dest, e)
 		m := s.msgs[e.ID]
 		if m == nil || m.call != c {
 			continue
@@ -814,6 +817,9 @@
 		wait = min(wait, 50*time.Millisecond)
 	}
 	wait = min(wait, millis(min(s.guard.Next()-s.clock.Now(), 1e6)))
+	if s.trials != nil {
+		wait = min(wait, millis(min(s.trials.board.Next()-s.clock.Now(), 1e6)))
+	}
 	wait = s.watchWait(wait)
 	if at, due := s.tellAt(); due {
 		wait = min(wait, millis(at-s.clock.Now()))
--- a/internal/sender/storm.go
+++ b/internal/sender/storm.go
@@ -25,7 +25,7 @@
 // weather carries out what storms ask, ahead of a step: the module learns the paces, the pool how many
 // connections may be opened.
 func (s *Sender) weather() {
-	for _, o := range s.guard.Orders(s.now) {
+	for _, o := range s.weatherOrders() {
 		for _, p := range o.Paces {
 			s.events = append(s.events, policy.Event{Kind: policy.EvPace, Dest: o.Dest, Endpoint: p.Endpoint, Pace: p.Rate})
 		}
--- /dev/null
+++ b/internal/standin/relay.go
@@ -0,0 +1,153 @@
+package standin
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Relay is a TCP relay with faults, one for each link of a test: it can hold back either direction, delay, break
+// all connections, half-close them and refuse new ones.
+type Relay struct {
+	ln     net.Listener
+	target string
+
+	mu     sync.Mutex
+	cond   *sync.Cond
+	held   [2]bool // towards the target, and back
+	delay  time.Duration
+	refuse bool
+	closed bool
+	conns  map[net.Conn]bool
+}
+
+// Directions of a Relay.
+const (
+	There = 0 // from who dials to the target
+	Back  = 1
+)
+
+// NewRelay returns a Relay to target, on an address of its own.
+func NewRelay(target string) (*Relay, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &Relay{ln: ln, target: target, conns: map[net.Conn]bool{}}
+	r.cond = sync.NewCond(&r.mu)
+	go r.serve()
+	return r, nil
+}
+
+// Addr is where it listens.
+func (r *Relay) Addr() string { return r.ln.Addr().String() }
+
+// Hold holds back what goes in a direction, or lets it go on.
+func (r *Relay) Hold(direction int, held bool) { r.set(func() { r.held[direction] = held }) }
+
+// Cut holds back both directions, or lets them go on.
+func (r *Relay) Cut(cut bool) { r.set(func() { r.held = [2]bool{cut, cut} }) }
+
+// Delay delays what goes either way.
+func (r *Relay) Delay(d time.Duration) { r.set(func() { r.delay = d }) }
+
+// Refuse closes new connections at once, or takes them again.
+func (r *Relay) Refuse(on bool) { r.set(func() { r.refuse = on }) }
+
+// Break ends all connections.
+func (r *Relay) Break() {
+	r.set(func() {
+		for c := range r.conns {
+			c.Close()
+		}
+	})
+}
+
+// HalfClose ends all connections in one direction alone: the target, or who dialled, reads an end and may go on
+// writing.
+func (r *Relay) HalfClose() {
+	r.set(func() {
+		for c := range r.conns {
+			if t, ok := c.(*net.TCPConn); ok {
+				t.CloseWrite()
+			}
+		}
+	})
+}
+
+// Close ends everything.
+func (r *Relay) Close() {
+	r.ln.Close()
+	r.set(func() { r.closed, r.held = true, [2]bool{} })
+	r.Break()
+}
+
+func (r *Relay) set(f func()) {
+	r.mu.Lock()
+	f()
+	r.mu.Unlock()
+	r.cond.Broadcast()
+}
+
+func (r *Relay) serve() {
+	for {
+		c, err := r.ln.Accept()
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		refuse := r.refuse || r.closed
+		r.mu.Unlock()
+		if refuse {
+			c.Close()
+			continue
+		}
+		go r.carry(c)
+	}
+}
+
+func (r *Relay) carry(c net.Conn) {
+	t, err := net.Dial("tcp", r.target)
+	if err != nil {
+		c.Close()
+		return
+	}
+	r.set(func() { r.conns[c], r.conns[t] = true, true })
+	var both sync.WaitGroup
+	both.Add(2)
+	pipe := func(from, to net.Conn, direction int) {
+		defer both.Done()
+		r.copy(from, to, direction)
+		to.Close()
+		from.Close()
+	}
+	go pipe(c, t, There)
+	go pipe(t, c, Back)
+	both.Wait()
+	r.set(func() { delete(r.conns, c); delete(r.conns, t) })
+}
+
+func (r *Relay) copy(from io.Reader, to io.Writer, direction int) {
+	b := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(b)
+		if n > 0 {
+			r.mu.Lock()
+			for r.held[direction] && !r.closed {
+				r.cond.Wait()
+			}
+			delay := r.delay
+			r.mu.Unlock()
+			if delay > 0 {
+				time.Sleep(delay)
+			}
+			if _, err := to.Write(b[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
