Trials of a partner that is down shared by a fleet; tests of programs, duties, log and trials

Change: internal/fleet/trial, a pure board fed by storm phases and news of duties; what it changes reaches the module as the paces that storms ask. Tests start three programs: trials shared, holder killed, upgrade, a log that cannot be written, two processes of one name, another's folder. A duty moves from a holder above its even part alone: before, a newcomer's part was overshot (25 moves of 60 where 20 do).

--- /dev/null
+++ b/cmd/sliptide/fleet_test.go
@@ -0,0 +1,363 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"sliptide/internal/fleet/voter"
+)
+
+// team is three senders of one fleet, each with its platform, and one partner, destination 5, that all of them
+// call.
+type team struct {
+	t    *testing.T
+	rigs []*rig
+	xml  string
+
+	mu    sync.Mutex
+	down  bool
+	calls []teamCall // at the partner
+}
+
+type teamCall struct {
+	at     time.Time
+	sender string
+}
+
+// teamAddr is an address that no other test has.
+func teamAddr() string {
+	n := rigs.Add(1)
+	return fmt.Sprintf("127.78.%d.%d:7101", n/250, n%250+1)
+}
+
+func newTeam(t *testing.T, bound string) *team {
+	t.Parallel()
+	m := &team{t: t}
+	var members strings.Builder
+	for i := range 3 {
+		fmt.Fprintf(&members, `<member name="n%d" addr="%s" zone="a" voter="true"/>`, i, teamAddr())
+	}
+	m.xml = `<storms enabled="true"/><fleet enabled="true">` + members.String() +
+		`<duties lease="1s" election="300ms"/><trials enabled="true" bound="` + bound + `"/></fleet>`
+	for i := range 3 {
+		r := makeRig(t, m.xml, func(settings, _ map[string]any) { settings["balancers"] = 3 })
+		r.config["name"] = fmt.Sprint("n", i)
+		r.list = append(r.list, r.partner("p-5", 5, m.partner))
+		r.config["known"] = map[string]any{"version": 1, "full": true, "servers": r.list}
+		m.rigs = append(m.rigs, r)
+	}
+	for _, r := range m.rigs {
+		r.start()
+	}
+	return m
+}
+
+// partner breaks each call off while it is down. It knows the sender by the message's name.
+func (m *team) partner(w http.ResponseWriter, q *http.Request) {
+	sender, _, _ := strings.Cut(q.Header.Get("X-Trace-Id"), "-")
+	if sender == "" {
+		return // a probe
+	}
+	m.mu.Lock()
+	m.calls = append(m.calls, teamCall{time.Now(), sender})
+	down := m.down
+	m.mu.Unlock()
+	if down {
+		nc, _, _ := w.(http.Hijacker).Hijack()
+		nc.Close()
+	}
+}
+
+func (m *team) set(down bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down = down
+}
+
+// callers counts the calls of each sender since then.
+func (m *team) callers(since time.Time) map[string]int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := map[string]int{}
+	for _, c := range m.calls {
+		if c.at.After(since) {
+			n[c.sender]++
+		}
+	}
+	return n
+}
+
+// await polls until ok, or fails.
+func (m *team) await(what string, ok func() bool) {
+	m.t.Helper()
+	for end := time.Now().Add(patient); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			m.t.Fatalf("never: %s; calls %v", what, m.callers(time.Time{}))
+		}
+	}
+}
+
+// status asks the fleet by the command line; nil where nobody answers.
+func (m *team) status() *voter.Status {
+	out, err := exec.Command(binary, "fleet", "status", "--json", "--operator", m.rigs[0].operator).Output()
+	var s voter.Status
+	if err != nil || json.Unmarshal(out, &s) != nil {
+		return nil
+	}
+	return &s
+}
+
+func (m *team) holder(duty string) string {
+	if s := m.status(); s != nil {
+		for _, d := range s.Duties {
+			if d.Name == duty {
+				return d.Holder
+			}
+		}
+	}
+	return ""
+}
+
+// load hands in messages at each sender now and then, until stop.
+func (m *team) load(stop <-chan struct{}) *sync.WaitGroup {
+	var wg sync.WaitGroup
+	for i, r := range m.rigs {
+		wg.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(150 * time.Millisecond):
+				}
+				if resp, err := r.tryHandIn(fmt.Sprintf("n%d-%d", i, n), 5, 12, "x"); err == nil {
+					resp.Body.Close()
+				}
+			}
+		})
+	}
+	return &wg
+}
+
+// drain reads notices and watches so that no rig stands still.
+func (m *team) drain(stop <-chan struct{}) {
+	for _, r := range m.rigs {
+		go r.quiet(stop)
+	}
+}
+
+// TestTrialsAreShared: while a partner is down, one sender of three tries it. It is killed, and another does. Once
+// the partner is back, all of them deliver.
+func TestTrialsAreShared(t *testing.T) {
+	m := newTeam(t, "4s")
+	stop := make(chan struct{})
+	m.drain(stop)
+	wg := m.load(stop)
+	defer wg.Wait()
+	defer close(stop)
+	m.await("each sender delivers", func() bool { return len(m.callers(time.Time{})) == 3 })
+	m.set(true)
+	m.await("a member holds the trial", func() bool { return m.holder("trial/5") != "" })
+	holder := m.holder("trial/5")
+	// Attempts that were under way when the duty was given out end first.
+	time.Sleep(500 * time.Millisecond) // the watched span begins: nothing is waited for
+	from := time.Now()
+	m.await("the holder has tried five times", func() bool { return m.callers(from)[holder] >= 5 })
+	if n := m.callers(from); len(n) != 1 {
+		t.Errorf("calls by %v while %s holds the trial", n, holder)
+	}
+	for i, r := range m.rigs {
+		if fmt.Sprint("n", i) == holder {
+			r.kill(syscall.SIGKILL)
+			r.proc = nil
+		}
+	}
+	m.await("another member holds the trial", func() bool { h := m.holder("trial/5"); return h != "" && h != holder })
+	next := m.holder("trial/5")
+	m.await("it tries", func() bool { return m.callers(from)[next] >= 2 })
+	m.set(false)
+	back := time.Now()
+	m.await("both that are left deliver", func() bool { return len(m.callers(back)) == 2 })
+	t.Logf("back: all deliver after %v", time.Since(back).Round(10*time.Millisecond))
+}
+
+// TestFleetCommands: what operators ask a running member, and what they are told.
+func TestFleetCommands(t *testing.T) {
+	m := newTeam(t, "4s")
+	stop := make(chan struct{})
+	defer close(stop)
+	m.drain(stop)
+	m.await("three sessions", func() bool {
+		s := m.status()
+		n := 0
+		if s != nil && s.Leader != "" {
+			for _, x := range s.Members {
+				if x.Session != 0 {
+					n++
+				}
+			}
+		}
+		return n == 3
+	})
+	op := m.rigs[0].operator
+	out, errs, code := command(t, "fleet", "status", "--operator", op)
+	for _, want := range []string{"leader n", "MEMBER", "n0", "n1", "n2", "true"} {
+		if !strings.Contains(out, want) || code != 0 {
+			t.Errorf("status %d: %s%s, want %q", code, out, errs, want)
+		}
+	}
+	for _, c := range []struct {
+		want string
+		args []string
+	}{
+		{"no such duty", []string{"hand-over", "trial/77", "n1"}},
+		{"no <fleet enabled", []string{"status", "--operator", writeXML(t, `<ready/>`)}},
+		{"no member answers", []string{"status", "--at", teamAddr()}},
+	} {
+		args := append([]string{"fleet"}, c.args...)
+		if !strings.Contains(strings.Join(args, " "), "--operator") {
+			args = append(args, "--operator", op)
+		}
+		if out, errs, code := command(t, args...); code == 0 || !strings.Contains(errs, c.want) {
+			t.Errorf("%v: status %d, %s%s; want %q", args, code, out, errs, c.want)
+		}
+	}
+	// A second process under a name that is taken, in a folder of its own: it takes no part, and says why.
+	twin := makeRig(t, strings.Replace(m.xml, `<fleet enabled="true">`, `<fleet enabled="true" listen="`+teamAddr()+`">`, 1), nil)
+	twin.config["name"] = "n0"
+	twin.launch()
+	twin.awaitLog("another process runs under this member's name")
+	// It is up all the same, and what it is handed is taken on.
+	twin.awaitUp(200)
+	// A member that is removed has no session once its lease is over, and gets none.
+	if _, errs, code := command(t, "fleet", "remove", "n2", "--operator", op); code != 0 {
+		t.Errorf("remove: %s", errs)
+	}
+	m.await("n2 has no session", func() bool {
+		s := m.status()
+		if s == nil {
+			return false
+		}
+		for _, x := range s.Members {
+			if x.Name == "n2" {
+				return x.Session == 0
+			}
+		}
+		return true
+	})
+	m.rigs[2].awaitLog("removed from the fleet")
+}
+
+func writeXML(t *testing.T, text string) string {
+	path := filepath.Join(t.TempDir(), "f.xml")
+	if err := os.WriteFile(path, []byte(`<sliptide version="1">`+text+`</sliptide>`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// TestFleetUpgrade: a new version beside the old is the same member, which has one session throughout.
+func TestFleetUpgrade(t *testing.T) {
+	m := newTeam(t, "4s")
+	stop := make(chan struct{})
+	defer close(stop)
+	m.drain(stop)
+	session := func() uint64 {
+		if s := m.status(); s != nil && s.Leader != "" {
+			for _, x := range s.Members {
+				if x.Name == "n1" {
+					return x.Session
+				}
+			}
+		}
+		return 0
+	}
+	m.await("n1 has a session", func() bool { return session() != 0 })
+	was := session()
+	r := m.rigs[1]
+	var logs logBuffer
+	next := exec.Command(binary, "run", "--operator", r.operator)
+	next.Env, next.Stderr = r.proc.Env, &logs
+	if err := next.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { next.Process.Kill(); next.Wait() })
+	m.await("the new version waits", func() bool { return strings.Contains(logs.String(), `"started"`) })
+	if now := session(); now != was {
+		t.Errorf("session %d became %d while both run", was, now)
+	}
+	r.proc.Process.Signal(syscall.SIGTERM)
+	r.await(r.exited, "the old process leaves")
+	r.proc = nil
+	m.await("n1 has a further session", func() bool { s := session(); return s != 0 && s != was })
+	if strings.Contains(logs.String(), "goes on without this sender") {
+		t.Errorf("log of the new process:\n%s", logs.String())
+	}
+}
+
+// TestFleetDiskFails: a voter whose log cannot be written steps down, and its sender goes on sending; when the log
+// can be written again, it takes part again.
+func TestFleetDiskFails(t *testing.T) {
+	m := newTeam(t, "4s")
+	stop := make(chan struct{})
+	defer close(stop)
+	m.drain(stop)
+	m.await("a leader", func() bool { s := m.status(); return s != nil && s.Leader != "" })
+	r := m.rigs[0]
+	log, aside := filepath.Join(r.state, "fleet.log"), filepath.Join(r.state, "aside")
+	if err := os.Rename(log, aside); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Mkdir(log, 0o700); err != nil { // an append to a folder fails
+		t.Fatal(err)
+	}
+	// Something to be written: every voter appends what is agreed on.
+	if _, errs, code := command(t, "fleet", "remove", "nobody", "--operator", m.rigs[0].operator); code != 0 {
+		t.Errorf("remove: %s", errs)
+	}
+	r.awaitLog("the log cannot be written: stepping down")
+	r.take("n0-1", 5, 10, "x")
+	m.await("its message is delivered", func() bool { return m.callers(time.Time{})["n0"] == 1 })
+	if err := os.Remove(log); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(aside, log); err != nil {
+		t.Fatal(err)
+	}
+	r.awaitLog("the log can be written again")
+}
+
+// TestFleetThatDoesNotStart: a name that is no member's, and a folder that is another's, end the program with one
+// line that says so.
+func TestFleetThatDoesNotStart(t *testing.T) {
+	m := newTeam(t, "4s")
+	stop := make(chan struct{})
+	defer close(stop)
+	m.drain(stop)
+	m.await("a leader", func() bool { s := m.status(); return s != nil && s.Leader != "" })
+	r := m.rigs[2]
+	r.kill(syscall.SIGKILL)
+	m.rigs[1].kill(syscall.SIGKILL)
+	m.rigs[1].proc = nil
+	r.config["name"] = "n1"
+	r.launch()
+	r.await(r.exited, "the program ends")
+	if s := r.logs.String(); !strings.Contains(s, `it is of \"n2\", this is \"n1\"`) && !strings.Contains(s, `it is of "n2", this is "n1"`) {
+		t.Errorf("log:\n%s", s)
+	}
+	r.config["name"] = "n9"
+	r.launch()
+	r.await(r.exited, "the program ends")
+	if s := r.logs.String(); r.proc.ProcessState.ExitCode() != 2 || !strings.Contains(s, `RELAY_NAME is "n9", which is no <member>`) {
+		t.Errorf("status %d, log:\n%s", r.proc.ProcessState.ExitCode(), s)
+	}
+	r.proc = nil
+}
--- /dev/null
+++ b/internal/fleet/duty/duty_test.go
@@ -0,0 +1,249 @@
+package duty
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"sliptide/internal/fleet/pb"
+)
+
+func open(member string, incarnation, boot, seq uint64) *pb.Command {
+	return &pb.Command{What: &pb.Command_Open{Open: &pb.Open{Member: member, Incarnation: incarnation, Boot: boot, Seq: seq}}}
+}
+
+func acquire(session uint64, duty string) *pb.Command {
+	return &pb.Command{What: &pb.Command_Acquire{Acquire: &pb.Acquire{Session: session, Duty: duty}}}
+}
+
+func release(session uint64, duty string, token uint64) *pb.Command {
+	return &pb.Command{What: &pb.Command_Release{Release: &pb.Release{Session: session, Duty: duty, Token: token}}}
+}
+
+func expire(session, term uint64) *pb.Command {
+	return &pb.Command{What: &pb.Command_Expire{Expire: &pb.Expire{Session: session, Term: term}}}
+}
+
+func handOver(duty, to string) *pb.Command {
+	return &pb.Command{What: &pb.Command_HandOver{HandOver: &pb.HandOver{Duty: duty, To: to}}}
+}
+
+func say(session uint64, duty string, token uint64, word string) *pb.Command {
+	return &pb.Command{What: &pb.Command_Say{Say: &pb.Say{Session: session, Duty: duty, Token: token, Word: word}}}
+}
+
+// draw is any command, of which many make no sense.
+func draw(t *rapid.T, s *State, index uint64) *pb.Command {
+	session := rapid.Uint64Range(0, index).Draw(t, "session")
+	if ids := s.Sessions(); len(ids) > 0 && rapid.Bool().Draw(t, "live") {
+		session = rapid.SampledFrom(ids).Draw(t, "of")
+	}
+	duty := fmt.Sprint("d", rapid.IntRange(0, 5).Draw(t, "duty"))
+	member := fmt.Sprint("m", rapid.IntRange(0, 4).Draw(t, "member"))
+	token := uint64(0)
+	if d := s.shown(duty); d != nil && rapid.IntRange(0, 3).Draw(t, "right") > 0 {
+		token, session = d.Token, d.Session
+	}
+	switch rapid.IntRange(0, 7).Draw(t, "kind") {
+	case 0, 1:
+		return open(member, rapid.Uint64Range(1, 2).Draw(t, "incarnation"), rapid.Uint64Range(1, 3).Draw(t, "boot"), rapid.Uint64Range(1, 3).Draw(t, "seq"))
+	case 2, 3:
+		return acquire(session, duty)
+	case 4:
+		return release(session, duty, token)
+	case 5:
+		return expire(session, 1)
+	case 6:
+		return handOver(duty, member)
+	}
+	return say(session, duty, token, "w")
+}
+
+// TestAnyCommands: whatever is agreed on, a duty has one holder with a session that goes on, each grant has a higher
+// token than all before, the counts of duties are right, and a snapshot goes on as the original does.
+func TestAnyCommands(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New(map[uint64]string{1: "m0"})
+		granted := map[string]uint64{}
+		highest := uint64(0)
+		n := rapid.IntRange(1, 120).Draw(t, "n")
+		for i := range n {
+			index := uint64(i + 1)
+			c := draw(t, s, index)
+			b, err := s.Marshal()
+			if err != nil {
+				t.Fatal(err)
+			}
+			twin, err := Unmarshal(b)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r, r2 := s.Apply(index, 1, c), twin.Apply(index, 1, c)
+			if !errors.Is(r2.Err, r.Err) || r.Session != r2.Session || len(r.Changed) != len(r2.Changed) {
+				t.Fatalf("%v: %v, from a snapshot %v", c, r, r2)
+			}
+			held := map[uint64]int{}
+			for _, d := range s.Duties() {
+				if d.Session != 0 && s.Session(d.Session) == nil {
+					t.Fatalf("%v: its holder's session is over", d)
+				}
+				if d.Token != granted[d.Name] && d.Session != 0 {
+					if d.Token <= highest {
+						t.Fatalf("%v: granted with a token that is not above %d", d, highest)
+					}
+					highest, granted[d.Name] = d.Token, d.Token
+				}
+				held[d.Session]++
+			}
+			plan := 0
+			for id, v := range s.sessions {
+				if v.holds != held[id] {
+					t.Fatalf("session %d counts %d duties and holds %d", id, v.holds, held[id])
+				}
+				plan += v.plan
+			}
+			if plan != 0 {
+				t.Fatalf("what is to be handed over does not add up: %d", plan)
+			}
+		}
+	})
+}
+
+// TestLateCopies: a command that comes once more, late, takes nothing from anybody.
+func TestLateCopies(t *testing.T) {
+	s := New(nil)
+	s.Apply(1, 1, open("a", 1, 1, 1))
+	s.Apply(2, 1, open("a", 1, 1, 2)) // the first was given up
+	if r := s.Apply(3, 1, open("a", 1, 1, 1)); !errors.Is(r.Err, ErrSession) || s.Session(2) == nil {
+		t.Errorf("a late copy of the first wish: %v, session %v", r, s.Session(2))
+	}
+	if r := s.Apply(4, 1, open("a", 1, 1, 2)); r.Session != 2 || r.Began != 0 {
+		t.Errorf("the same wish once more: %+v", r)
+	}
+	if r := s.Apply(5, 1, open("a", 9, 1, 1)); !errors.Is(r.Err, ErrTaken) {
+		t.Errorf("another folder: %v", r.Err)
+	}
+	s.Apply(6, 1, open("b", 2, 1, 1))
+	s.Apply(7, 1, acquire(2, "d"))
+	s.Apply(8, 1, acquire(6, "d"))
+	token := s.shown("d").Token
+	s.Apply(9, 1, release(2, "d", token))
+	if r := s.Apply(10, 1, release(2, "d", token)); !errors.Is(r.Err, ErrToken) || s.shown("d").Holder != "b" {
+		t.Errorf("a release that comes twice: %v, %v", r.Err, s.shown("d"))
+	}
+	if r := s.Apply(11, 1, say(2, "d", token, "w")); !errors.Is(r.Err, ErrToken) {
+		t.Errorf("a word with an old token: %v", r.Err)
+	}
+	// What a voter that led in an earlier term says of lapsed sessions is void.
+	if r := s.Apply(12, 2, expire(6, 1)); r.Err == nil || s.Session(6) == nil {
+		t.Errorf("an end proposed in another term: %v", r.Err)
+	}
+}
+
+// TestSpread: duties spread evenly as members come, one that goes leaves its own alone to be handed on, and nothing
+// moves once they are even.
+func TestSpread(t *testing.T) {
+	s := New(nil)
+	index := uint64(0)
+	apply := func(c *pb.Command) Result { index++; return s.Apply(index, 1, c) }
+	const duties = 60
+	join := func(name string) uint64 {
+		id := apply(open(name, 1, 1, 1)).Session
+		for d := range duties {
+			apply(acquire(id, fmt.Sprint("d", d)))
+		}
+		return id
+	}
+	// settle hands over what is to be, as holders do, and counts it.
+	settle := func() (moved int) {
+		for again := true; again; {
+			again = false
+			for _, d := range s.Duties() {
+				if d.Wanted != "" {
+					apply(release(d.Session, d.Name, d.Token))
+					apply(acquire(d.Session, d.Name))
+					moved, again = moved+1, true
+				}
+			}
+			if moved > 10*duties {
+				t.Fatal("duties go to and fro")
+			}
+		}
+		return moved
+	}
+	most := func() (lo, hi int) {
+		lo = duties
+		for _, v := range s.sessions {
+			lo, hi = min(lo, v.holds), max(hi, v.holds)
+		}
+		return lo, hi
+	}
+	join("a")
+	for n, name := range []string{"b", "c", "d", "e"} {
+		join(name)
+		moved := settle()
+		if lo, hi := most(); hi-lo > 1 {
+			t.Errorf("with %d members: from %d to %d duties", n+2, lo, hi)
+		}
+		if fair := duties / (n + 2); moved > fair+1 {
+			t.Errorf("member %d came: %d duties moved, its part is %d", n+2, moved, fair)
+		}
+	}
+	gone := s.names["c"]
+	was := map[string]string{}
+	for _, d := range s.Duties() {
+		was[d.Name] = d.Holder
+	}
+	apply(expire(gone, 1))
+	for _, d := range s.Duties() {
+		if was[d.Name] != "c" && d.Holder != was[d.Name] {
+			t.Errorf("%s moved from %s to %s though c went", d.Name, was[d.Name], d.Holder)
+		}
+	}
+	if n := settle(); n > 2 {
+		t.Errorf("%d duties moved after c's were handed on", n)
+	}
+}
+
+// TestBounds: more than the bounds allow is refused, and loses nothing.
+func TestBounds(t *testing.T) {
+	s := New(nil)
+	index := uint64(0)
+	apply := func(c *pb.Command) Result { index++; return s.Apply(index, 1, c) }
+	for i := range MaxSessions {
+		if r := apply(open(fmt.Sprint("m", i), 1, 1, 1)); r.Err != nil {
+			t.Fatal(r.Err)
+		}
+	}
+	if r := apply(open("one more", 1, 1, 1)); !errors.Is(r.Err, ErrFull) {
+		t.Errorf("session: %v", r.Err)
+	}
+	for i := range MaxDuties {
+		apply(acquire(1, fmt.Sprint("d", i)))
+	}
+	if r := apply(acquire(1, "one more")); !errors.Is(r.Err, ErrFull) {
+		t.Errorf("duty: %v", r.Err)
+	}
+	if r := apply(acquire(1, string(make([]byte, MaxName+1)))); !errors.Is(r.Err, ErrName) {
+		t.Errorf("name: %v", r.Err)
+	}
+	for id := uint64(2); id < 100; id++ {
+		apply(acquire(id, "d0"))
+	}
+	if n := len(s.duties["d0"].Waiting); n != MaxWaiting {
+		t.Errorf("%d in line", n)
+	}
+	b, _ := s.Marshal()
+	if len(b) > 2<<20 {
+		t.Errorf("a snapshot of %d bytes", len(b))
+	}
+	if r := apply(&pb.Command{}); !errors.Is(r.Err, ErrCommand) {
+		t.Errorf("unknown command: %v", r.Err)
+	}
+	if _, err := Unmarshal([]byte{0xff}); err == nil || proto.Unmarshal(b, &pb.State{}) != nil {
+		t.Error("snapshots")
+	}
+}
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -67,8 +67,9 @@
 }
 
 type link struct {
-	queue  chan *pb.Frame
-	cancel context.CancelFunc
+	queue       chan *pb.Frame
+	cancel      context.CancelFunc
+	incarnation uint64 // of the folder at its other end
 }
 
 // stream is either end of one.
@@ -177,7 +178,7 @@
 	if h == nil || h.Member != name {
 		return fmt.Errorf("at %s is %q, not %q", addr, h.GetMember(), name)
 	}
-	return n.run(ctx, cancel, name, st)
+	return n.run(ctx, cancel, h, st)
 }
 
 // Dial returns a connection to the member at addr, which comes up when it is used.
@@ -225,7 +226,7 @@
 	if err := st.Send(n.hello()); err != nil {
 		return err
 	}
-	return n.run(ctx, cancel, h.Member, st)
+	return n.run(ctx, cancel, h, st)
 }
 
 func (n *Net) welcome(h *pb.Hello) error {
@@ -243,12 +244,16 @@
 	case len(n.links) >= linksMost:
 		return errFull
 	}
+	if l := n.links[h.Member]; l != nil && l.incarnation != h.Incarnation {
+		return fmt.Errorf("another process runs under this member's name: %q", h.Member)
+	}
 	return nil
 }
 
 // run carries frames until the link goes down; a later link to the same member takes its place.
-func (n *Net) run(ctx context.Context, cancel context.CancelFunc, name string, st stream) error {
-	l := &link{queue: make(chan *pb.Frame, queueMost), cancel: cancel}
+func (n *Net) run(ctx context.Context, cancel context.CancelFunc, h *pb.Hello, st stream) error {
+	name := h.Member
+	l := &link{queue: make(chan *pb.Frame, queueMost), cancel: cancel, incarnation: h.Incarnation}
 	n.mu.Lock()
 	if old := n.links[name]; old != nil {
 		old.cancel()
--- /dev/null
+++ b/internal/fleet/model/size_test.go
@@ -0,0 +1,53 @@
+package model
+
+import (
+	"os"
+	"testing"
+	"time"
+)
+
+// TestManyLoseTheirLeader: 300 members whose leader is killed do not storm: what they send in any second stays within
+// a few times what they send in calm, one election settles it, and no session is lost.
+func TestManyLoseTheirLeader(t *testing.T) {
+	sizes := []int{30}
+	if os.Getenv("SLIPTIDE_MEASURE") != "" {
+		sizes = []int{3, 30, 300, 1000}
+	}
+	for _, n := range sizes {
+		o := options(1)
+		o.Members, o.Duties = n-3, 1
+		w := New(o)
+		w.Run(10 * time.Second)
+		w.Frames = 0
+		w.Run(12 * time.Second)
+		calm := w.Frames / 2
+		lead := -1
+		for _, p := range w.procs[:3] {
+			if p.voter.Leads() {
+				lead = p.n
+			}
+		}
+		if lead < 0 {
+			t.Fatal("nobody leads")
+		}
+		sessions := w.procs[(lead+1)%3].voter.State().Sessions()
+		w.Schedule([]Fault{{Kind: Kill, Who: lead, At: 12 * time.Second, For: time.Minute}})
+		most := 0
+		for s := 12; s < 20; s++ {
+			w.Frames = 0
+			w.Run(time.Duration(s+1) * time.Second)
+			most = max(most, w.Frames)
+		}
+		after := w.procs[(lead+1)%3].voter.State()
+		kept := 0
+		for _, id := range sessions {
+			if after.Session(id) != nil {
+				kept++
+			}
+		}
+		t.Logf("%d members: %d frames a second in calm (%.1f a member), %d in the worst second after the leader is killed; %d of %d sessions kept", n, calm, float64(calm)/float64(n), most, kept, len(sessions))
+		if most > 4*calm || kept < len(sessions)-1 || w.Breach != "" || !w.Held() {
+			t.Errorf("%d members: breach %q, held %v", n, w.Breach, w.Held())
+		}
+	}
+}
--- a/internal/fleet/spread/spread.go
+++ b/internal/fleet/spread/spread.go
@@ -3,8 +3,8 @@
 //
 // A duty that is free goes to the candidate with the fewest duties for its weight; among equal ones, to one of
 // the duty's own zone, then by rendezvous hashing, so that equal duties do not follow each other. A duty that is
-// held moves only where its holder has at least two more than a candidate would have after the move: one move
-// leaves the two no further apart than one duty, so that nothing moves back.
+// held moves only where its holder has more than its even part, and at least two more than the candidate: one move
+// leaves the two no further apart than one duty, so that nothing moves back, and nobody gives what it will miss.
 package spread
 
 import "github.com/cespare/xxhash/v2"
@@ -55,8 +55,19 @@
 // Better returns the place of the candidate that a held duty should move to, -1 if it stays.
 func Better(duty, zone string, holder Member, of []Member) int {
 	best := Choose(duty, zone, of)
-	if best < 0 || of[best].load(2) > holder.load(0) {
+	if best < 0 || of[best].load(2) > holder.load(0) || holder.load(0) <= fair(holder, of) {
 		return -1
 	}
 	return best
 }
+
+// fair is the load that all would have if their duties lay evenly. A holder at or under it keeps what it has: what
+// a newcomer lacks is to come from those above.
+func fair(holder Member, of []Member) float64 {
+	duties, weight := holder.Duties, max(holder.Weight, 1)
+	for i := range of {
+		duties += of[i].Duties
+		weight += max(of[i].Weight, 1)
+	}
+	return float64(duties) / float64(weight)
+}
--- a/internal/lab/experiment/params.go
+++ b/internal/lab/experiment/params.go
@@ -14,10 +14,10 @@
 	ms := func(v int64) float64 { return float64(v) / float64(time.Millisecond) }
 	yesNo := strictxml.OneOf("false", "true")
 	return []p{
-		{Name: "system", Fallback: "sliptide", Values: strictxml.OneOf("sliptide", "before", "backoff", "budget", "ideal"), Put: func(w *w, v int64) {
-			w.System = world.System([]string{"sliptide", "before", "backoff", "budget", "ideal"}[v])
+		{Name: "system", Fallback: "sliptide", Values: strictxml.OneOf("sliptide", "fleet", "before", "backoff", "budget", "ideal"), Put: func(w *w, v int64) {
+			w.System = world.System([]string{"sliptide", "fleet", "before", "backoff", "budget", "ideal"}[v])
 		},
-			Doc: "What the senders decide by: module and storm guard, the module alone, back-off with full jitter, that under a retry budget, or all that the partner can take."},
+			Doc: "What the senders decide by: module and storm guard, the same with trials shared by a fleet, the module alone, back-off with full jitter, that under a retry budget, or all that the partner can take."},
 		{Name: "senders", Fallback: "3", Values: strictxml.Whole(1, 1000), Put: func(w *w, v int64) { w.Senders = int(v) },
 			Doc: "Senders."},
 		{Name: "partners", Fallback: "1", Values: strictxml.Whole(1, 20000), Put: func(w *w, v int64) { w.Partners = int(v) },
--- a/internal/lab/world/node.go
+++ b/internal/lab/world/node.go
@@ -3,7 +3,9 @@
 import (
 	"math"
 	"slices"
+	"strconv"
 
+	"sliptide/internal/fleet/trial"
 	"sliptide/internal/lab/rivals"
 	"sliptide/internal/storm"
 	"sliptide/policy"
@@ -36,6 +38,9 @@
 	paces     map[int]*dialPace
 	calls     map[*call]bool
 	sends     []*call
+	board     *trial.Board // its part in the fleet's trials; nil: none
+	news      map[int]trial.News
+	session   uint64 // 0: not yet
 }
 
 // dialPace spaces new connections to one partner.
@@ -63,15 +68,20 @@
 		lastStep: -1, lookAt: math.Inf(1), idle: map[uint32][]float64{}, paces: map[int]*dialPace{}, calls: map[*call]bool{},
 	}
 	n.think()
+	if w.team != nil {
+		w.team.join(0, n)
+	}
 	return n
 }
 
+func (n *node) name() string { return "n" + strconv.Itoa(n.index) }
+
 // think gives the node a brain that has learned nothing.
 func (n *node) think() {
 	p, seed := &n.w.p, n.w.rng.Uint64()
 	n.mod, n.guard = nil, nil
 	switch p.System {
-	case Sliptide:
+	case Sliptide, Fleet:
 		limits := map[int]float64{}
 		for i := range n.w.partners {
 			limits[i] = p.limitOf()
@@ -154,7 +164,7 @@
 // step lets the brain decide, and carries out what it does.
 func (n *node) step(now float64) {
 	n.stepAt, n.lastStep = math.Inf(1), now
-	for _, o := range n.guard.Orders(now) {
+	for _, o := range n.trials(now, n.guard.Orders(now)) {
 		for _, p := range o.Paces {
 			n.events = append(n.events, policy.Event{Kind: policy.EvPace, Dest: o.Dest, Endpoint: p.Endpoint, Pace: p.Rate})
 		}
@@ -169,7 +179,7 @@
 	for _, c := range n.sends {
 		n.start(now, c)
 	}
-	if at := n.guard.Next(); at < n.lookAt || n.lookAt <= now {
+	if at := min(n.guard.Next(), n.board.Next()); at < n.lookAt || n.lookAt <= now {
 		if n.lookAt = at; !math.IsInf(at, 1) {
 			n.w.queue.push(event{at: max(at, now+1), kind: evLook, node: n})
 		}
@@ -286,6 +296,7 @@
 			Wait: c.wait, Latency: now - c.sentAt, Report: rep}
 		n.events = append(n.events, e)
 		n.guard.Outcome(now, &e)
+		n.tried(now, c.at.partner.id, &e)
 		if m.call == c {
 			m.call = nil
 		}
@@ -312,6 +323,10 @@
 			}
 		}
 	}
+	if n.w.team != nil {
+		n.w.team.lost(now, n.session)
+		n.session = 0
+	}
 	n.life++
 	n.downUntil = now + gap
 	n.events = n.events[:0]
@@ -334,6 +349,9 @@
 	}
 	clear(n.paces)
 	n.think()
+	if n.w.team != nil {
+		n.w.team.join(now+gap, n)
+	}
 	n.guard.Recall(now+gap, facts)
 	n.stepAt, n.lookAt = math.Inf(1), math.Inf(1)
 	if n.mod != nil {
--- a/internal/lab/world/params.go
+++ b/internal/lab/world/params.go
@@ -14,6 +14,7 @@
 // The systems.
 const (
 	Sliptide System = "sliptide" // module and storm guard
+	Fleet    System = "fleet"    // module and storm guard, with the trials of a partner that is down shared out
 	Before   System = "before"   // the module alone
 	Backoff  System = "backoff"  // exponential back-off with full jitter
 	Budget   System = "budget"   // the same under a token bucket of retries
--- a/internal/lab/world/queue.go
+++ b/internal/lab/world/queue.go
@@ -10,6 +10,7 @@
 	msg  *message
 	n    int // a token, a partner, a key
 	v    float64
+	do   func(now float64) // of evFleet
 }
 
 type kind uint8
@@ -27,6 +28,7 @@
 	evReturn              // and is back
 	evNews                // the list of endpoints reaches a sender
 	evRestart             // a sender is killed and starts again
+	evFleet               // something in the fleet that the senders are members of
 )
 
 // queue is a 4-ary heap of events: shallower than a binary one, which matters with a million waiting.
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -48,6 +48,7 @@
 	run      Run
 	other    Second // where what befalls other partners is counted
 	oracle   map[int]float64
+	team     *team // nil: each sender is alone
 }
 
 // New returns a world in which nothing has happened yet.
@@ -65,6 +66,9 @@
 			w.stations[s.id] = s
 		}
 	}
+	if p.System == Fleet {
+		w.team = newTeam(w)
+	}
 	for i := range p.Senders {
 		w.nodes = append(w.nodes, newNode(w, i))
 	}
@@ -139,6 +143,8 @@
 		w.returned(now, w.partners[e.n])
 	case evNews:
 		e.node.list(now, e.n)
+	case evFleet:
+		e.do(now)
 	case evRestart:
 		e.node.restart(now, 600)
 	}
