--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint fuzz crash h2-chaos storms telemetry measure bench generate run toy clean
+.PHONY: build test lint fuzz crash h2-chaos storms telemetry duties duties-faults duties-gaps fleet measure bench generate run toy clean
 
 build: ## the program and the simulator's adapter, into bin/
 	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
@@ -32,6 +32,15 @@
 telemetry: ## what a collector costs, healthy, absent and black-holed (about five minutes)
 	SLIPTIDE_MEASURE=1 go test ./cmd/sliptide -count=1 -timeout 30m -v -run TestMeasureTelemetry | grep measure_test
 
+duties: ## duties of a fleet: 1,000 schedules of faults in the model, and the fleet at 3 to 1,000 members (about three minutes)
+	SLIPTIDE_SCHEDULES=1000 SLIPTIDE_MEASURE=1 go test ./internal/fleet/model -count=1 -timeout 30m -v | grep -E '_test|found|rapid|ok|FAIL'
+
+duties-faults: ## 200 schedules of faults on five processes each (about ten minutes)
+	SLIPTIDE_FLEET_SCHEDULES=200 go test ./internal/fleet -run TestFaultsAtRandom -parallel 4 -count=1 -timeout 40m -v | grep -E '_test|ok|FAIL'
+
+duties-gaps: ## how long a duty has no holder, 100 faults of each kind, and what an idle fleet costs (about ten minutes)
+	SLIPTIDE_MEASURE=1 SLIPTIDE_FAULTS=100 go test ./internal/fleet -run TestMeasure -parallel 4 -count=1 -timeout 60m -v | grep -E '_test|ok|FAIL'
+
 measure: ## the tables of docs/: restarts and cost, with knowledge off and on (about two minutes)
 	SLIPTIDE_MEASURE=1 go test ./cmd/sliptide -count=1 -timeout 30m -v -run "TestMeasure[CHR]" | grep -E '(measure|h2)_test' 
 
@@ -47,6 +56,9 @@
 	mkdir -p state
 	RELAY_CONFIG=example/config.json RELAY_STATE=state bin/sliptide run --operator example/sliptide.xml
 
+fleet: build ## three senders of one fleet and a toy partner that goes down now and then, in this terminal
+	go run ./example/fleet
+
 toy:
 	go run ./example/toy
 
--- a/cmd/sliptide/fleet.go
+++ b/cmd/sliptide/fleet.go
@@ -78,8 +78,9 @@
 		return
 	}
 	m.snd = snd
+	snd.Join(m)
 	if op.Fleet.Trials.Enabled {
-		snd.Join(m, trial.Settings{Senders: senders, Bound: float64(op.Fleet.Trials.Bound) / float64(time.Millisecond)})
+		snd.ShareTrials(m, trial.Settings{Senders: senders, Bound: float64(op.Fleet.Trials.Bound) / float64(time.Millisecond)})
 	}
 }
 
@@ -162,5 +163,8 @@
 // Held implements sender.Fleet.
 func (m *membership) Held(duty string) uint64 { return m.get().Held(duty) }
 
+// Duties implements sender.Fleet.
+func (m *membership) Duties() int { return m.get().Duties() }
+
 // Live implements sender.Fleet.
 func (m *membership) Live() bool { return m.get().Live() }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -402,6 +402,14 @@
 	return 0
 }
 
+// Duties is how many duties are held at this moment.
+func (m *Member) Duties() int {
+	if !m.Live() {
+		return 0
+	}
+	return len(m.held.Load().tokens)
+}
+
 // Live reports whether this member's session holds at this moment: whether the fleet can be relied on.
 func (m *Member) Live() bool { return m != nil && m.now() < m.held.Load().until }
 
--- /dev/null
+++ b/internal/fleet/measure_test.go
@@ -0,0 +1,151 @@
+package fleet_test
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"sliptide/internal/fleet"
+)
+
+// TestMeasureGaps tells, for each kind of fault, how long a duty had no holder, over SLIPTIDE_FAULTS faults (100 by
+// `make duties-gaps`). A gap runs from the holder's last look that found it held to the next holder's first.
+func TestMeasureGaps(t *testing.T) {
+	if os.Getenv("SLIPTIDE_MEASURE") == "" {
+		t.Skip("a measurement: make duties-gaps")
+	}
+	n, err := strconv.Atoi(os.Getenv("SLIPTIDE_FAULTS"))
+	if err != nil {
+		n = 10
+	}
+	lease2s := func(s *nodeSettings) {
+		s.Settings.Terms.Length, s.Settings.Election, s.Rate = 2*time.Second, 500*time.Millisecond, 1
+	}
+	for _, c := range []struct {
+		name  string
+		fault func(r *rig, p *proc) (heal func())
+	}{
+		{"killed", func(r *rig, p *proc) func() { r.kill(p); return func() { r.start(p) } }},
+		{"stopped", func(r *rig, p *proc) func() {
+			p.cmd.Process.Signal(syscall.SIGSTOP)
+			return func() { p.cmd.Process.Signal(syscall.SIGCONT) }
+		}},
+		{"cut off", func(r *rig, p *proc) func() { r.isolate(p.name, true); return func() { r.isolate(p.name, false) } }},
+		{"left in order", func(r *rig, p *proc) func() { r.leave(p); return func() { r.start(p) } }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, 3, 2, lease2s)
+			l := r.holder(0, 0, "", 20*time.Second)
+			var gaps []float64
+			for range n {
+				l = r.holder(0, fleet.Now(), "", 10*time.Second)
+				at := fleet.Now()
+				heal := c.fault(r, r.proc(l.member))
+				next := r.holder(0, at, l.member, 15*time.Second)
+				gaps = append(gaps, float64(next.begin-r.lastHeld(0, l.member))/1e6)
+				heal()
+				// All are back before the next one: a majority is always there.
+				r.awaitLinks(l.member)
+				r.forgetLooks()
+			}
+			slices.Sort(gaps)
+			t.Logf("holder %s, lease 2 s, %d faults: without a holder p50 %.0f ms, max %.0f ms", c.name, n, gaps[len(gaps)/2], gaps[len(gaps)-1])
+		})
+	}
+}
+
+// lastHeld is when a member was last seen to hold a duty.
+func (r *rig) lastHeld(duty int, member string) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := len(r.looks) - 1; i >= 0; i-- {
+		if l := r.looks[i]; l.duty == duty && l.member == member {
+			return l.end
+		}
+	}
+	return 0
+}
+
+// awaitLinks waits until a member that is back can have a session again.
+func (r *rig) awaitLinks(string) { time.Sleep(3500 * time.Millisecond) }
+
+// forgetLooks checks the looks so far and drops them.
+func (r *rig) forgetLooks() {
+	r.judge()
+	r.mu.Lock()
+	r.looks = nil
+	r.logs.Reset()
+	r.mu.Unlock()
+}
+
+// TestMeasureIdle tells what an idle fleet costs a member: processor time, resident memory, bytes on links.
+func TestMeasureIdle(t *testing.T) {
+	if os.Getenv("SLIPTIDE_MEASURE") == "" {
+		t.Skip("a measurement: make duties-idle")
+	}
+	for _, members := range []int{0, 27} {
+		r := newRig(t, 3, members, func(s *nodeSettings) {
+			s.Settings.Terms.Length, s.Settings.Election, s.Rate = 2*time.Second, 500*time.Millisecond, 1
+		})
+		r.holder(0, 0, "", 30*time.Second)
+		time.Sleep(5 * time.Second)
+		cpu := func() (voters, rest float64) {
+			for i, p := range r.procs {
+				if v := cpuOf(p.cmd.Process.Pid); i < 3 {
+					voters += v
+				} else {
+					rest += v
+				}
+			}
+			return voters, rest
+		}
+		v0, m0 := cpu()
+		b0 := r.bytes()
+		const span = 20
+		time.Sleep(span * time.Second)
+		v1, m1 := cpu()
+		b1 := r.bytes()
+		rss := 0.0
+		for _, p := range r.procs {
+			rss = max(rss, rssOf(p.cmd.Process.Pid))
+		}
+		t.Logf("%d members: %.2f%% of a core a voter, %.2f%% another member (with this test's own looks each 4 ms), most memory %.1f MB, %.0f B/s on links a member",
+			3+members, (v1-v0)/3/span*100, (m1-m0)/float64(max(members, 1))/span*100, rss, float64(b1-b0)/span/float64(3+members))
+		r.close()
+	}
+}
+
+func (r *rig) bytes() (n int64) {
+	for _, l := range r.relays {
+		n += l.Bytes()
+	}
+	return n
+}
+
+func cpuOf(pid int) float64 {
+	b, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	f := strings.Fields(string(b))
+	if len(f) < 15 {
+		return 0
+	}
+	u, _ := strconv.ParseFloat(f[13], 64)
+	s, _ := strconv.ParseFloat(f[14], 64)
+	return (u + s) / 100
+}
+
+func rssOf(pid int) float64 {
+	b, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	for _, line := range strings.Split(string(b), "\n") {
+		if v, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, _ := strconv.ParseFloat(strings.Fields(v)[0], 64)
+			return kb / 1024
+		}
+	}
+	return 0
+}
--- a/internal/fleet/procs_test.go
+++ b/internal/fleet/procs_test.go
@@ -445,8 +445,8 @@
 		r.mu.Lock()
 		logs := r.logs.String()
 		r.mu.Unlock()
-		for _, line := range strings.Split(logs, "\n") {
-			if strings.Contains(line, text) && strings.Contains(line, `"m":"`+member+`"`) {
+		for _, line := range splitLines(logs) {
+			if who, ok := saying(line, text); ok && who == member {
 				return
 			}
 		}
@@ -454,6 +454,17 @@
 	r.t.Fatalf("%s never logged %q; log:\n%s", member, text, tail(r.logs.String(), 6000))
 }
 
+func splitLines(s string) []string { return strings.Split(s, "\n") }
+
+// saying returns the member whose line of the log has that text in its message or error.
+func saying(line, text string) (member string, ok bool) {
+	var l struct{ M, Message, Error string }
+	if json.Unmarshal([]byte(line), &l) != nil || !strings.Contains(l.Message+" ", text+" ") && !strings.Contains(l.Error, text) && !strings.HasSuffix(l.Message, text) {
+		return "", false
+	}
+	return l.M, !strings.Contains(l.Message, "leads no more")
+}
+
 // TestFolderOfAnother: a member that is given another's folder refuses it, and says whose it is.
 func TestFolderOfAnother(t *testing.T) {
 	t.Parallel()
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -159,7 +159,8 @@
 	now    float64
 	memory memory
 	guard  *storm.Guard
-	trials *trials // nil: no fleet
+	fleet  Fleet   // nil: none
+	trials *trials // nil: not shared
 	watch  watcher
 
 	msgs    map[uint64]*message // taken on and not over, and not waiting for a notice
--- a/internal/sender/trials.go
+++ b/internal/sender/trials.go
@@ -14,6 +14,7 @@
 	Leave(duty string, end bool)
 	Say(duty, word string)
 	Held(duty string) uint64 // the fencing token of a duty that is held at this moment, 0 if it is not
+	Duties() int             // how many are held at this moment
 	Live() bool              // whether what is heard of the fleet can be relied on at this moment
 }
 
@@ -43,7 +44,10 @@
 }
 
 // Join gives the sender the fleet, before Run.
-func (s *Sender) Join(f Fleet, set trial.Settings) {
+func (s *Sender) Join(f Fleet) { s.fleet = f }
+
+// ShareTrials gives it its part in the trials that the fleet shares, before Run.
+func (s *Sender) ShareTrials(f Fleet, set trial.Settings) {
 	s.trials = &trials{board: trial.New(set), fleet: f, news: map[int]trial.News{}}
 }
 
--- a/internal/sender/watch.go
+++ b/internal/sender/watch.go
@@ -171,6 +171,14 @@
 		gauge(telemetry.StormPromised, float64(st.Promised))
 		gauge(telemetry.StormOverbooked, float64(st.Overbooked))
 	}
+	if s.fleet != nil {
+		live := 0.0
+		if s.fleet.Live() {
+			live = 1
+		}
+		gauge(telemetry.FleetLive, live)
+		gauge(telemetry.FleetDuties, float64(s.fleet.Duties()))
+	}
 }
 
 // watchWait is when watchStep wants to be called again while messages are held: a reason changes with time alone.
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -19,9 +19,17 @@
 	delay  time.Duration
 	refuse bool
 	closed bool
+	bytes  int64
 	conns  map[net.Conn]bool
 }
 
+// Bytes is what it has carried, both ways.
+func (r *Relay) Bytes() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.bytes
+}
+
 // Directions of a Relay.
 const (
 	There = 0 // from who dials to the target
@@ -138,6 +146,7 @@
 				r.cond.Wait()
 			}
 			delay := r.delay
+			r.bytes += int64(n)
 			r.mu.Unlock()
 			if delay > 0 {
 				time.Sleep(delay)
--- a/internal/telemetry/assemble.go
+++ b/internal/telemetry/assemble.go
@@ -320,6 +320,8 @@
 	Connections
 	StormPromised
 	StormOverbooked
+	FleetLive
+	FleetDuties
 	names
 )
 
@@ -334,6 +336,8 @@
 	LimitTold:       {Name: "sliptide.limits.told", Unit: "{call}/s", Doc: "limits that partners and the list tell, together", Kind: metric.Gauge},
 	StormPromised:   {Name: "sliptide.storm.promised", Unit: "{message}", Doc: "come-back times that are reservations"},
 	StormOverbooked: {Name: "sliptide.storm.overbooked", Unit: "{message}", Doc: "refusals for which no second was free"},
+	FleetLive:       {Name: "sliptide.fleet.live", Unit: "1", Doc: "1 while this member's session in the fleet holds", Kind: metric.Gauge},
+	FleetDuties:     {Name: "sliptide.fleet.duties", Unit: "{duty}", Doc: "duties that this member holds", Kind: metric.Gauge},
 }
 
 func (n Name) def() *metric.Def {
