The sender's loop in files by concern: orders, calls, outcomes, lists, stopping

Change: functions moved as they were, none changed; sender.go has the types, the loop and the step (436 lines).

--- /dev/null
+++ b/internal/sender/calls.go
@@ -0,0 +1,72 @@
+package sender
+
+import (
+	"math"
+	"time"
+
+	"sliptide/internal/discovery"
+	"sliptide/internal/http1"
+	"sliptide/internal/outbound"
+	"sliptide/policy"
+)
+
+// This file sends: it makes calls of what the module decides.
+
+// send enters an attempt. Sends of one step to one endpoint share a call.
+func (s *Sender) send(a *policy.Action) {
+	m, e := s.msgs[a.ID], s.addrs[a.Endpoint]
+	if m == nil || m.call != nil || e.Addr == "" || s.stopping(sendFor) || s.handing {
+		return
+	}
+	item := outbound.Item{ID: m.Num, Attempt: m.Attempts, Trace: m.Trace, Key: m.Key, Body: m.Body}
+	s.journal.Start(m.Entry, int64(s.now), e.Zone)
+	c := s.callTo(e, &item)
+	m.call, m.cutAt = c, math.Inf(1)
+	if a.After >= s.untilDeadline(m) { // else the whole call ends then, and with its connection
+		m.cutAt = s.now + a.After
+	}
+	s.watchBegan(m, c, item.Attempt)
+	c.Items = append(c.Items, item)
+	c.Timeout = max(c.Timeout, millis(a.After))
+}
+
+// untilDeadline is how long m may still be delivered, with what its rounding may hide.
+func (s *Sender) untilDeadline(m *message) float64 { return float64(m.Deadline) - s.now - 2 }
+
+// callTo is the call of this step to e that has room for item, or a new one.
+func (s *Sender) callTo(e discovery.Endpoint, item *outbound.Item) *outbound.Call {
+	batch := 1
+	if e.Kind < len(s.set.Kinds) {
+		batch = s.set.Kinds[e.Kind].Batch
+	}
+	for _, c := range s.sends {
+		if c.Endpoint != e.ID || len(c.Items) == 0 || len(c.Items) >= batch {
+			continue
+		}
+		size := item.Size()
+		for i := range c.Items {
+			size += c.Items[i].Size()
+		}
+		if size <= http1.MaxBody {
+			return c
+		}
+	}
+	c := &outbound.Call{Endpoint: e.ID, Addr: e.Addr, Dest: e.Dest, SentAt: time.Now()}
+	s.sends = append(s.sends, c)
+	return c
+}
+
+// dispatch starts the calls of this step.
+func (s *Sender) dispatch(kept bool) {
+	for _, c := range s.sends {
+		s.calls[c] = true
+		if !kept { // an attempt that no journal knows must not begin
+			s.drop(c)
+			s.again = true
+			continue
+		}
+		s.pool.Go(c)
+	}
+	clear(s.sends)
+	s.sends = s.sends[:0]
+}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -6,15 +6,12 @@
 import (
 	"cmp"
 	"errors"
-	"math"
-	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"sliptide/internal/discovery"
-	"sliptide/internal/http1"
 	"sliptide/internal/journal"
 	"sliptide/internal/operate"
 	"sliptide/internal/outbound"
@@ -284,60 +281,9 @@
 	s.events = append(s.events, ev)
 }
 
-// Take hands in a message and waits for the verdict, which comes with the next step.
-// The message's slices must stay as they are until then.
-func (s *Sender) Take(m *Message, received time.Time) Verdict {
-	o := &order{msg: m, received: received, verdict: make(chan Verdict, 1)}
-	select {
-	case s.in <- input{order: o}:
-	case <-s.done:
-		return Verdict{RetryAfter: lateLeast}
-	}
-	select {
-	case v := <-o.verdict:
-		return v
-	case <-s.done:
-		return Verdict{RetryAfter: lateLeast}
-	}
-}
-
-// Withdraw tells that the client of a message was not told that it was taken on.
-func (s *Sender) Withdraw(num uint64) { s.post(input{gone: num}) }
-
-// List takes news of the list of endpoints.
-func (s *Sender) List(l discovery.List) { s.post(input{list: &l}) }
-
 // Told takes the numbers of messages whose notice was taken.
 func (s *Sender) Told(nums []uint64) { s.post(input{told: nums}) }
 
-// TakeOut takes an endpoint out by hand (out) or puts it back. It returns once the module holds to it:
-// nothing new goes there from then on. An endpoint that no list has named is operate.ErrNeverListed.
-func (s *Sender) TakeOut(id string, out bool) error { return s.takeOutOrder(id, out, false) }
-
-// Follow takes an endpoint out or puts it back as another process of this sender did: named or not.
-func (s *Sender) Follow(id string, out bool) error { return s.takeOutOrder(id, out, true) }
-
-func (s *Sender) takeOutOrder(id string, out, known bool) error {
-	o := &outOrder{id: id, out: out, known: known, done: make(chan error, 1)}
-	s.post(input{out: o})
-	select {
-	case err := <-o.done:
-		return err
-	case <-s.done:
-		return errStopped
-	}
-}
-
-// Stop makes the sender take on nothing more, let its calls end, and leave.
-func (s *Sender) Stop() { s.post(input{stop: true}) }
-
-// HandOver stops the sender for an heir that waits: no further call begins, and it leaves as soon as the
-// calls out have ended. What it holds is in the journal, for the heir.
-func (s *Sender) HandOver() { s.post(input{stop: true, handOver: true}) }
-
-// Done is closed when the sender has left.
-func (s *Sender) Done() <-chan struct{} { return s.done }
-
 func (s *Sender) post(in input) {
 	select {
 	case s.in <- in:
@@ -361,18 +307,6 @@
 	}
 }
 
-// left reports whether a stopping sender may leave.
-func (s *Sender) left() bool {
-	if s.stopAt.IsZero() {
-		return false
-	}
-	age := time.Since(s.stopAt)
-	if s.handing && len(s.calls) == 0 {
-		return true
-	}
-	return age >= stopAfter || age >= stopLeast && len(s.calls) == 0 && (age >= sendFor || len(s.msgs) == 0)
-}
-
 // gather waits for something to happen and takes all that has.
 func (s *Sender) gather() {
 	if !s.again {
@@ -429,190 +363,6 @@
 	}
 }
 
-func (s *Sender) takeOrder(o *order) {
-	m := o.msg
-	left := float64(m.Left-time.Since(o.received)) / 1e6
-	switch _, held := s.traces[string(m.Trace)]; {
-	case held, s.past.ids[string(m.Trace)]:
-		// Every hand-in has an id of its own, so this is no client's of ours. It must not share the
-		// fate of the first: were its answer unheard, a message that is owed an end would be withdrawn.
-		o.verdict <- Verdict{Known: true}
-		return
-	case !s.dests[m.Dest]: // nothing could be done with it but hold it until its time is up
-		s.watchRefused(m.Dest, telemetry.CauseRoute)
-		o.verdict <- Verdict{NoRoute: true, RetryAfter: s.busyRetry()}
-		return
-	case !s.stopAt.IsZero(), left <= 0, s.set.MaxHeld > 0 && len(s.msgs) >= s.set.MaxHeld, !s.journal.Room(len(m.Body)):
-		s.guard.Arrived(s.now, m.Dest, keyHash(m.Key), m.Again)
-		s.watchRefused(m.Dest, s.whyNot())
-		o.verdict <- Verdict{RetryAfter: s.comeBack(m.Dest, m.Key, max(left, 0), s.busyRetry())}
-		return
-	}
-	s.guard.Arrived(s.now, m.Dest, keyHash(m.Key), m.Again)
-	s.guard.Held(s.now, m.Dest, 1)
-	e := &journal.Entry{
-		Num: s.journal.Next(), Trace: string(m.Trace), Key: string(m.Key), Class: s.set.Classes[m.Class].Name,
-		Item: m.Item, Dest: m.Dest, Again: m.Again, Deadline: int64(s.now + left), Body: slices.Clone(m.Body),
-	}
-	if m.Tenant < len(s.set.Tenants) {
-		e.Tenant = s.set.Tenants[m.Tenant].Name
-	}
-	if s.watch.On() {
-		e.Parent = parent(m.Parent).Text()
-	}
-	s.journal.Take(e)
-	s.msgs[e.Num] = &message{Entry: e}
-	s.traces[e.Trace] = e.Num
-	s.watchTaken(e, m.Class, false)
-	s.orders = append(s.orders, &taking{order: o, entry: e})
-	s.events = append(s.events, policy.Event{
-		Kind: policy.EvMessage, ID: e.Num, Class: m.Class, Tenant: m.Tenant, Key: m.Item, Left: left,
-		Again: m.Again, Dest: m.Dest,
-	})
-}
-
-// busyRetry is when to come again where there is no room.
-func (s *Sender) busyRetry() float64 { return min(lateLeast, max(s.set.MaxRetryAfter, 1)) }
-
-// takeOutcome books the end of a call.
-func (s *Sender) takeOutcome(c *outbound.Call, events []policy.Event) {
-	delete(s.calls, c)
-	s.events = append(s.events, events...)
-	for i := range events {
-		e := &events[i]
-		if e.Wait > 0 {
-			s.hold(c)
-			s.noteWait(c, e.Wait)
-		}
-		if e.Outcome != policy.Moot { // one that was not sent tells nothing
-			s.noteCall(c)
-		}
-		s.guard.Outcome(s.now, e)
-		s.tried(c.Dest, e)
-		m := s.msgs[e.ID]
-		if m == nil || m.call != c {
-			continue
-		}
-		m.call = nil
-		s.watchEnded(c, e)
-		if e.Outcome == policy.OK || e.Closed {
-			end := telemetry.Delivered
-			if e.Outcome != policy.OK {
-				end = telemetry.Closed
-			}
-			s.watchOver(m.Entry, end, 0)
-			s.over(m)
-			continue
-		}
-		s.journal.Outcome(m.Entry, !e.Outcome.NeverRan())
-	}
-}
-
-// hold keeps calls back that still wait for their connection when a wait is told:
-// they would reach the destination inside it.
-func (s *Sender) hold(told *outbound.Call) {
-	apart := s.apart(told.Endpoint)
-	for c := range s.calls {
-		if c.Dest == told.Dest && (!apart || c.Endpoint == told.Endpoint) {
-			s.drop(c)
-		}
-	}
-}
-
-// drop gives up a call that has not begun; its messages learn at once that it never ran.
-func (s *Sender) drop(c *outbound.Call) {
-	if c != nil && c.Drop() {
-		s.takeOutcome(c, c.Dropped())
-	}
-}
-
-// takeOut carries out an order by hand: the module hears of the endpoint as if listed anew.
-func (s *Sender) takeOut(o *outOrder) error {
-	id, named := s.names[o.id]
-	if !named && !o.known && !s.out.Has(o.id) { // one taken out in an earlier life may not be listed yet
-		return operate.ErrNeverListed
-	}
-	if err := s.out.Set(o.id, o.out); err != nil {
-		return err
-	}
-	s.log.Info().Str("endpoint", o.id).Bool("out", o.out).Msg("endpoint taken out by hand, or put back")
-	if e, listed := s.addrs[id]; named && listed {
-		s.takeList(&discovery.List{Entries: []discovery.Endpoint{e}})
-	}
-	return nil
-}
-
-func (s *Sender) takeList(l *discovery.List) {
-	if s.heir {
-		s.holdList(l)
-		return
-	}
-	s.recall(l)
-	ev := policy.Event{Kind: policy.EvList, FullList: l.Full}
-	listed := make(map[uint32]bool, len(l.Entries))
-	for _, e := range l.Entries {
-		s.names[e.Name] = e.ID
-		if e.State != policy.Gone {
-			s.addrs[e.ID] = e
-		}
-		e.State = s.out.State(e.Name, e.State)
-		if s.partner != nil {
-			if p := s.partner(e.Dest); p != nil && p.HTTP2 {
-				e.Endpoint.Streams = s.streams
-			}
-		}
-		ev.List = append(ev.List, e.Endpoint)
-		listed[e.ID] = e.State == policy.Ready
-		if e.State != policy.Gone {
-			if len(s.dests) < maxDests {
-				s.dests[e.Dest] = true
-			}
-		}
-	}
-	s.guard.Listed(s.now, ev.List, ev.FullList)
-	s.events = append(s.events, ev)
-	for c := range s.calls {
-		// Nothing new may reach an endpoint that drains or is gone, and a call that still
-		// waits for its connection is new.
-		if ready, named := listed[c.Endpoint]; !ready && (named || l.Full) {
-			s.drop(c)
-		}
-	}
-}
-
-func (s *Sender) takeTold(nums []uint64) {
-	for _, num := range nums {
-		if e := s.owed[num]; e != nil {
-			delete(s.owed, num)
-			s.journal.End(e)
-		}
-	}
-}
-
-// over forgets a message to which nothing more is owed.
-func (s *Sender) over(m *message) {
-	s.journal.End(m.Entry)
-	s.past.add(m.Trace, s.now)
-	s.forget(m)
-}
-
-func (s *Sender) forget(m *message) {
-	delete(s.msgs, m.Num)
-	delete(s.traces, m.Trace)
-	s.guard.Held(s.now, m.Dest, -1)
-}
-
-// owe ends a message that was taken on by a notice. It is over once that is taken.
-func (s *Sender) owe(e *journal.Entry, ending int, after float64) {
-	s.journal.Owe(e, ending, int64(after))
-	s.owed[e.Num] = e
-	s.notify(e)
-}
-
-func (s *Sender) notify(e *journal.Entry) {
-	s.notices(discovery.Notice{Num: e.Num, Trace: e.Trace, HandedBack: e.Ending == journal.HandedBack, RetryMS: e.RetryMS})
-}
-
 // step lets the module decide and carries out its actions: first all is written
 // to the journal, then clients are answered, then the calls go out.
 func (s *Sender) step() {
@@ -658,149 +408,6 @@
 	}
 }
 
-// send enters an attempt. Sends of one step to one endpoint share a call.
-func (s *Sender) send(a *policy.Action) {
-	m, e := s.msgs[a.ID], s.addrs[a.Endpoint]
-	if m == nil || m.call != nil || e.Addr == "" || s.stopping(sendFor) || s.handing {
-		return
-	}
-	item := outbound.Item{ID: m.Num, Attempt: m.Attempts, Trace: m.Trace, Key: m.Key, Body: m.Body}
-	s.journal.Start(m.Entry, int64(s.now), e.Zone)
-	c := s.callTo(e, &item)
-	m.call, m.cutAt = c, math.Inf(1)
-	if a.After >= s.untilDeadline(m) { // else the whole call ends then, and with its connection
-		m.cutAt = s.now + a.After
-	}
-	s.watchBegan(m, c, item.Attempt)
-	c.Items = append(c.Items, item)
-	c.Timeout = max(c.Timeout, millis(a.After))
-}
-
-// untilDeadline is how long m may still be delivered, with what its rounding may hide.
-func (s *Sender) untilDeadline(m *message) float64 { return float64(m.Deadline) - s.now - 2 }
-
-// callTo is the call of this step to e that has room for item, or a new one.
-func (s *Sender) callTo(e discovery.Endpoint, item *outbound.Item) *outbound.Call {
-	batch := 1
-	if e.Kind < len(s.set.Kinds) {
-		batch = s.set.Kinds[e.Kind].Batch
-	}
-	for _, c := range s.sends {
-		if c.Endpoint != e.ID || len(c.Items) == 0 || len(c.Items) >= batch {
-			continue
-		}
-		size := item.Size()
-		for i := range c.Items {
-			size += c.Items[i].Size()
-		}
-		if size <= http1.MaxBody {
-			return c
-		}
-	}
-	c := &outbound.Call{Endpoint: e.ID, Addr: e.Addr, Dest: e.Dest, SentAt: time.Now()}
-	s.sends = append(s.sends, c)
-	return c
-}
-
-// cutShort ends attempts whose time is up in a call that goes on for others: a
-// message with little time left would otherwise be out beyond its deadline with
-// the rest of a bulk call, and its end would come too late.
-func (s *Sender) cutShort() {
-	for c := range s.calls {
-		if len(c.Items) < 2 {
-			continue // its connection ends it
-		}
-		for i := range c.Items {
-			m := s.msgs[c.Items[i].ID]
-			if m == nil || m.call != c || m.cutAt > s.now {
-				continue
-			}
-			m.call = nil
-			s.journal.Outcome(m.Entry, true)
-			s.events = append(s.events, policy.Event{
-				Kind: policy.EvOutcome, ID: m.Num, Attempt: c.Items[i].Attempt, Endpoint: c.Endpoint,
-				Outcome: policy.Timeout, Latency: float64(time.Since(c.SentAt)) / 1e6,
-			})
-			s.watchEnded(c, &s.events[len(s.events)-1])
-		}
-	}
-}
-
-// finish ends a message undelivered. One of this step is refused by its answer,
-// any other, which was taken on, ends with a notice.
-func (s *Sender) finish(a *policy.Action) {
-	m := s.msgs[a.ID]
-	if m == nil {
-		return
-	}
-	after := a.After
-	if a.Kind == policy.ActRefuse {
-		after = s.comeBack(m.Dest, []byte(m.Key), max(float64(m.Deadline)-s.now, 0), after)
-	}
-	for _, t := range s.orders {
-		if t.entry == m.Entry {
-			t.refused, t.after = true, after
-			s.watchOver(m.Entry, telemetry.NotTaken, 0)
-			s.watchRefused(m.Dest, telemetry.CauseLoad)
-			s.journal.End(m.Entry)
-			s.forget(m)
-			return
-		}
-	}
-	s.drop(m.call)
-	s.past.add(m.Trace, s.now)
-	s.forget(m)
-	ending := journal.GivenUp
-	if a.Kind == policy.ActRefuse {
-		ending = journal.HandedBack
-	}
-	s.watchOver(m.Entry, [...]telemetry.End{journal.GivenUp: telemetry.GivenUp, journal.HandedBack: telemetry.HandedBack}[ending], after)
-	s.owe(m.Entry, ending, after)
-}
-
-// answer gives the verdicts of this step.
-func (s *Sender) answer(kept bool) {
-	for _, t := range s.orders {
-		switch {
-		case t.refused:
-			t.verdict <- Verdict{RetryAfter: t.after}
-		case !kept: // it is in no journal: the module must not hold it
-			s.watchOver(t.entry, telemetry.NotTaken, 0)
-			s.watchRefused(t.entry.Dest, telemetry.CauseRoom)
-			s.events = append(s.events, policy.Event{Kind: policy.EvWithdrawn, ID: t.entry.Num})
-			s.again = true
-			if m := s.msgs[t.entry.Num]; m != nil {
-				s.journal.End(m.Entry)
-				s.forget(m)
-			}
-			t.verdict <- Verdict{RetryAfter: lateLeast}
-		default:
-			t.verdict <- Verdict{Taken: true, Num: t.entry.Num}
-		}
-	}
-	s.orders = s.orders[:0]
-}
-
-// dispatch starts the calls of this step.
-func (s *Sender) dispatch(kept bool) {
-	for _, c := range s.sends {
-		s.calls[c] = true
-		if !kept { // an attempt that no journal knows must not begin
-			s.drop(c)
-			s.again = true
-			continue
-		}
-		s.pool.Go(c)
-	}
-	clear(s.sends)
-	s.sends = s.sends[:0]
-}
-
-// stopping reports whether the stop began that long ago.
-func (s *Sender) stopping(d time.Duration) bool {
-	return !s.stopAt.IsZero() && time.Since(s.stopAt) >= d
-}
-
 // arm sets the one timer to the module's, or to the next look at a stop.
 func (s *Sender) arm() {
 	wait := time.Hour
