Copies of journals: owner, holder, heir and placement as pure modules, and a model of the promise

Change: internal/fleet/copies (Owner, Holder, Heir), internal/fleet/placement, and in the agreed state the duty own/NAME with its holders, adoptions, and succession of a process by the next of the same folder. Nothing of the program uses them yet.

The first model run found a hole in the design: an owner that is cut off refuses its client after 150 ms, and its heir sends the message. Entries now count as taken on only with a record that their client is told so; an heir ends the others as handed back and never sends them.

--- /dev/null
+++ b/internal/fleet/copies/copies.go
@@ -0,0 +1,221 @@
+// Package copies keeps what a sender has taken on at further members, so that a machine that is lost with its disk
+// loses nothing that was promised: Owner is the side whose journal is copied, Holder the side that keeps copies of
+// others' journals, Heir the side that takes over what a lost owner had.
+//
+// All three are pure: no clock, no I/O, no goroutine. They take frames and say what is to be sent; what a Holder
+// keeps goes through a Store. Times are nanoseconds on the caller's monotonic clock.
+//
+// An owner's records go in batches, numbered without holes within an epoch, which is the fencing token of the duty
+// own/NAME. A holder takes them in order and refuses older epochs. What is missing is made up for by a reset: all
+// that is live in the owner's journal. The heir holds the same duty with a higher token: it seals the owner's epochs
+// at every holder that the fleet has agreed on, takes the longest copy, puts it into its own journal, which is copied
+// in turn, and has the fleet agree on the adoption. Only then are the messages its own.
+package copies
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"sliptide/internal/fleet/pb"
+)
+
+const (
+	resendAfter = int64(120 * time.Millisecond) // without an answer for so long, all is sent again
+	batchMost   = 1 << 20                       // bytes of records that wait to be told of to one holder
+)
+
+// Out is a frame for a member.
+type Out struct {
+	To    string
+	Frame *pb.Frame
+}
+
+func copyFrame(c *pb.Copy) *pb.Frame { return &pb.Frame{What: &pb.Frame_Copy{Copy: c}} }
+
+// Owner copies one journal to its holders.
+type Owner struct {
+	name        string
+	incarnation uint64
+	epoch       uint64 // 0: the duty is not held, nothing is copied
+	seq         uint64
+	upto        uint64
+	peers       map[string]*peer
+	out         []Out
+}
+
+type peer struct {
+	reset  uint64 // the batch that brought it everything, 0: it is to be sent
+	acked  uint64
+	waits  uint64 // the last batch that it was sent
+	sentAt int64  // of the oldest that is not answered
+	full   bool
+}
+
+// NewOwner returns the owner of a member's journal, which copies nothing until Begin.
+func NewOwner(name string, incarnation uint64) *Owner {
+	return &Owner{name: name, incarnation: incarnation, peers: map[string]*peer{}}
+}
+
+// Begin starts an epoch: the duty is held with that token. Every holder is brought everything anew. 0 ends it.
+func (o *Owner) Begin(epoch uint64) {
+	if epoch == o.epoch {
+		return
+	}
+	o.epoch = epoch
+	o.out = nil
+	for _, p := range o.peers {
+		*p = peer{}
+	}
+}
+
+// Epoch is the token that is copied under, 0 if there is none.
+func (o *Owner) Epoch() uint64 { return o.epoch }
+
+// Holders sets who keeps copies, as the fleet has agreed on.
+func (o *Owner) Holders(names []string) {
+	for name := range o.peers {
+		if !slices.Contains(names, name) {
+			delete(o.peers, name)
+		}
+	}
+	for _, name := range names {
+		if o.peers[name] == nil {
+			o.peers[name] = &peer{}
+		}
+	}
+}
+
+// names are the holders, in an order that does not change from run to run.
+func (o *Owner) names() []string { return slices.Sorted(maps.Keys(o.peers)) }
+
+// Append takes the records of one step of the journal and returns the number of their batch. upto is the highest
+// number of a message that was taken so far.
+func (o *Owner) Append(now int64, records []byte, upto uint64) uint64 {
+	o.seq++
+	o.upto = max(o.upto, upto)
+	if o.epoch == 0 {
+		return o.seq
+	}
+	var c *pb.Copy
+	for _, name := range o.names() {
+		p := o.peers[name]
+		if p.reset == 0 || p.full {
+			continue // it gets all of it, soon
+		}
+		if c == nil {
+			c = &pb.Copy{Owner: o.name, Incarnation: o.incarnation, Epoch: o.epoch, Seq: o.seq, Upto: o.upto, Records: slices.Clone(records)}
+		}
+		o.send(now, name, p, c)
+	}
+	return o.seq
+}
+
+func (o *Owner) send(now int64, name string, p *peer, c *pb.Copy) {
+	if p.acked >= p.waits {
+		p.sentAt = now
+	}
+	p.waits = c.Seq
+	o.out = append(o.out, Out{name, copyFrame(c)})
+}
+
+// Copied takes a holder's answer.
+func (o *Owner) Copied(now int64, from string, a *pb.Copied) {
+	p := o.peers[from]
+	if p == nil || a.Epoch != o.epoch || a.Owner != o.name {
+		return
+	}
+	switch {
+	case a.Sealed:
+		p.reset, p.acked = 0, 0 // the epoch is over: the duty is another's, or soon will be known to be
+		p.sentAt = now
+	case a.Full:
+		p.full = true
+	case a.Again:
+		p.reset = 0
+	default:
+		if p.reset != 0 && a.Seq >= p.reset && a.Seq > p.acked {
+			p.acked, p.sentAt = a.Seq, now
+		}
+	}
+}
+
+// Committed is the last batch that so many holders have, 0 if there is none in this epoch.
+func (o *Owner) Committed(needed int) uint64 {
+	if needed == 0 {
+		return o.seq
+	}
+	var acked []uint64
+	for _, p := range o.peers {
+		if p.reset != 0 && !p.full {
+			acked = append(acked, p.acked)
+		}
+	}
+	if len(acked) < needed || o.epoch == 0 {
+		return 0
+	}
+	slices.Sort(acked)
+	return acked[len(acked)-needed]
+}
+
+// Synced reports whether a holder has everything but what is under way.
+func (o *Owner) Synced(name string) bool {
+	p := o.peers[name]
+	return p != nil && p.reset != 0 && p.acked >= p.reset && !p.full
+}
+
+// Full are the holders that have no room.
+func (o *Owner) Full() (names []string) {
+	for _, name := range o.names() {
+		if o.peers[name].full {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Lag is how many batches a holder is behind, and false if it lacks everything.
+func (o *Owner) Lag(name string) (batches uint64, synced bool) {
+	if p := o.peers[name]; p != nil && p.reset != 0 {
+		return o.seq - p.acked, true
+	}
+	return o.seq, false
+}
+
+// Take returns what is to be sent. snapshot is all that is live in the journal, as records; it is asked for where a
+// holder is to be brought everything.
+func (o *Owner) Take(now int64, snapshot func() []byte) []Out {
+	if o.epoch != 0 {
+		var c *pb.Copy
+		for _, name := range o.names() {
+			p := o.peers[name]
+			late := p.acked < p.waits && now-p.sentAt > resendAfter
+			if p.full || p.reset != 0 && !late || p.reset == 0 && p.sentAt != 0 && now-p.sentAt <= resendAfter {
+				continue
+			}
+			if c == nil {
+				c = &pb.Copy{Owner: o.name, Incarnation: o.incarnation, Epoch: o.epoch, Seq: o.seq, Reset_: true, Upto: o.upto, Records: snapshot()}
+			}
+			p.reset, p.acked, p.waits = max(o.seq, 1), 0, max(o.seq, 1)
+			c.Seq = p.reset
+			p.sentAt = now
+			o.seq = max(o.seq, 1)
+			o.out = append(o.out, Out{name, copyFrame(c)})
+		}
+	}
+	out := o.out
+	o.out = nil
+	return out
+}
+
+// Next is when Take may have something by time alone; false: never.
+func (o *Owner) Next() (at int64, due bool) {
+	for _, p := range o.peers {
+		if o.epoch != 0 && !p.full && (p.acked < p.waits || p.reset == 0) {
+			if t := p.sentAt + resendAfter + 1; !due || t < at {
+				at, due = t, true
+			}
+		}
+	}
+	return at, due
+}
--- /dev/null
+++ b/internal/fleet/copies/heir.go
@@ -0,0 +1,92 @@
+package copies
+
+import (
+	"slices"
+	"time"
+
+	"sliptide/internal/fleet/pb"
+)
+
+const askEvery = int64(50 * time.Millisecond) // between two rounds of asks to holders that have not answered
+
+// Stage is how far an heir is.
+type Stage int
+
+// The stages.
+const (
+	Sealing  Stage = iota // the holders are asked
+	Ready                 // Found is to be put into the heir's own journal and copied,
+	Copying               // is under way to its own holders,
+	Adopting              // the fleet is asked to agree
+	Done
+)
+
+// Heir takes over what one lost owner had.
+type Heir struct {
+	Owner  string
+	Epoch  uint64 // the heir's token of the owner's duty
+	Stage  Stage
+	Found  *pb.Sealed // the longest copy; nil: nobody has one
+	void   uint64     // epochs below were adopted before
+	asked  map[string]bool
+	heard  map[string]bool
+	nextAt int64
+}
+
+// NewHeir begins to take over: holders are all that the fleet has agreed on, adopted is the owner's last adoption, nil
+// if there was none. What was kept before that is its heir's.
+func NewHeir(owner string, epoch uint64, holders []string, adopted *pb.Adoption) *Heir {
+	h := &Heir{Owner: owner, Epoch: epoch, void: adopted.GetToken(), asked: map[string]bool{}, heard: map[string]bool{}}
+	for _, name := range holders {
+		h.asked[name] = true
+	}
+	return h
+}
+
+// Take returns the asks that are due.
+func (h *Heir) Take(now int64) (out []Out) {
+	if h.Stage != Sealing || now < h.nextAt {
+		return nil
+	}
+	h.nextAt = now + askEvery
+	for name := range h.asked {
+		if !h.heard[name] {
+			out = append(out, Out{name, &pb.Frame{What: &pb.Frame_Seal{Seal: &pb.Seal{Owner: h.Owner, Epoch: h.Epoch}}}})
+		}
+	}
+	slices.SortFunc(out, func(a, b Out) int {
+		if a.To < b.To {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Sealed takes a holder's answer.
+func (h *Heir) Sealed(from string, s *pb.Sealed) {
+	if s.Owner != h.Owner || s.Epoch != h.Epoch || !h.asked[from] || h.Stage != Sealing {
+		return
+	}
+	h.heard[from] = true
+	if s.Have && s.From > h.void && (h.Found == nil || s.From > h.Found.From || s.From == h.Found.From && s.Seq > h.Found.Seq) {
+		h.Found = s
+	}
+}
+
+// Look goes on once every holder has answered whose session goes on. One whose session is over is lost, too: what it
+// alone has is lost with it, as is promised for more losses than there are copies.
+func (h *Heir) Look(present func(string) bool) Stage {
+	if h.Stage != Sealing {
+		return h.Stage
+	}
+	for name := range h.asked {
+		if !h.heard[name] && present(name) {
+			return h.Stage
+		}
+	}
+	if h.Stage = Ready; h.Found == nil {
+		h.Stage = Done
+	}
+	return h.Stage
+}
--- /dev/null
+++ b/internal/fleet/copies/holder.go
@@ -0,0 +1,127 @@
+package copies
+
+import (
+	"sliptide/internal/fleet/pb"
+)
+
+// Kept is what a holder keeps of one owner.
+type Kept struct {
+	Incarnation uint64
+	Epoch       uint64 // of what is kept
+	Seq         uint64
+	Upto        uint64
+	Sealed      uint64 // epochs below are over
+}
+
+// Store keeps copies: Reset replaces an owner's records, Append adds to them, Mark keeps what else is known. Each has
+// it on the disk when it returns nil. Live is what is live of them, as records; Size what an owner's take.
+type Store interface {
+	Reset(owner string, k Kept, records []byte) error
+	Append(owner string, k Kept, records []byte) error
+	Mark(owner string, k Kept) error
+	Live(owner string) []byte
+	Size(owner string) int64
+}
+
+// Holder keeps copies of others' journals.
+type Holder struct {
+	store Store
+	room  int64 // bytes that all copies may take
+	kept  map[string]*Kept
+	// Break takes guards out, for tests that show what finds that.
+	Break HolderBreak
+}
+
+// HolderBreak is a guard that is taken out.
+type HolderBreak uint
+
+// The guards.
+const (
+	BreakHoles HolderBreak = 1 << iota // batches are taken with others missing before them
+)
+
+// NewHolder returns a holder of what a store has kept.
+func NewHolder(store Store, room int64, kept map[string]Kept) *Holder {
+	h := &Holder{store: store, room: room, kept: map[string]*Kept{}}
+	for owner, k := range kept {
+		h.kept[owner] = &k
+	}
+	return h
+}
+
+// Kept is what is kept of an owner.
+func (h *Holder) Kept(owner string) (Kept, bool) {
+	if k := h.kept[owner]; k != nil {
+		return *k, true
+	}
+	return Kept{}, false
+}
+
+func (h *Holder) used() (n int64) {
+	for owner := range h.kept {
+		n += h.store.Size(owner)
+	}
+	return n
+}
+
+// Copy takes a batch, and answers once it is kept; nil: it could not be kept, and is sent again.
+func (h *Holder) Copy(c *pb.Copy) *pb.Copied {
+	a := &pb.Copied{Owner: c.Owner, Epoch: c.Epoch, Seq: c.Seq}
+	old := h.kept[c.Owner]
+	if old == nil {
+		old = &Kept{}
+	}
+	if c.Epoch < max(old.Epoch, old.Sealed) {
+		a.Sealed = true
+		return a
+	}
+	next := Kept{Incarnation: c.Incarnation, Epoch: c.Epoch, Seq: c.Seq, Upto: c.Upto, Sealed: old.Sealed}
+	switch {
+	case c.Reset_ && c.Epoch == old.Epoch && c.Seq < old.Seq: // late: more is kept
+		a.Seq = old.Seq
+		return a
+	case c.Reset_:
+		if h.used()-h.store.Size(c.Owner)+int64(len(c.Records)) > h.room {
+			a.Full = true
+			return a
+		}
+		if h.store.Reset(c.Owner, next, c.Records) != nil {
+			return nil
+		}
+	case c.Epoch != old.Epoch || c.Incarnation != old.Incarnation || c.Seq > old.Seq+1 && h.Break&BreakHoles == 0:
+		a.Again = true
+		return a
+	case c.Seq <= old.Seq:
+		a.Seq = old.Seq
+		return a
+	default:
+		if h.used()+int64(len(c.Records)) > h.room {
+			a.Full = true
+			return a
+		}
+		if h.store.Append(c.Owner, next, c.Records) != nil {
+			return nil
+		}
+	}
+	h.kept[c.Owner] = &next
+	return a
+}
+
+// Seal ends an owner's epochs below that one, and answers with what is kept; nil: that could not be kept.
+func (h *Holder) Seal(s *pb.Seal) *pb.Sealed {
+	k := h.kept[s.Owner]
+	if k == nil {
+		k = &Kept{}
+	}
+	next := *k
+	next.Sealed = max(k.Sealed, s.Epoch)
+	if h.store.Mark(s.Owner, next) != nil {
+		return nil
+	}
+	h.kept[s.Owner] = &next
+	a := &pb.Sealed{Owner: s.Owner, Epoch: s.Epoch}
+	if next.Epoch != 0 && next.Epoch < s.Epoch {
+		a.Have, a.Incarnation, a.From, a.Seq, a.Upto, a.Records = true, next.Incarnation, next.Epoch, next.Seq, next.Upto, h.store.Live(s.Owner)
+	}
+	return a
+}
--- /dev/null
+++ b/internal/fleet/copies/model_test.go
@@ -0,0 +1,844 @@
+package copies
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sliptide/internal/fleet/duty"
+	"sliptide/internal/fleet/pb"
+	"sliptide/internal/fleet/placement"
+)
+
+// The model: members that take messages on, copy their journals, are lost, and inherit, by the very Owner, Holder,
+// Heir, placement and state of duties that the program has; what a sender does with messages is modelled. The fleet's
+// agreement is a state that all see at once; leases are as internal/fleet/lease makes them: a member gives up before
+// its session ends. A checker holds the ledgers of clients, partner and platform side by side.
+
+const (
+	tick      = int64(5 * time.Millisecond)
+	leaseHold = int64(450 * time.Millisecond)
+	leaseWait = int64(550 * time.Millisecond)
+	patience  = int64(150 * time.Millisecond)
+	callTakes = int64(60 * time.Millisecond)
+	lifeOf    = int64(20 * time.Second)
+)
+
+// records of the model's journal: an operation and a message
+const (
+	opTaken = iota
+	opStart
+	opOutcome // may have run
+	opConfirm // its client is told 202
+	opEnd
+)
+
+type entry struct {
+	num     uint64
+	msg     int
+	sure    bool   // its client has heard that it was taken on, or will
+	started bool   // an attempt was begun
+	out     bool   // and is out
+	pending string // adopted, and not agreed on yet: the owner's duty
+	token   uint64
+}
+
+// live is what a journal's records come to.
+func live(records []byte) (list []entry) {
+	for i := 0; i+2 < len(records); i += 3 {
+		num, msg := uint64(records[i+1]), int(records[i+2])
+		k := slices.IndexFunc(list, func(e entry) bool { return e.num == num })
+		switch records[i] {
+		case opTaken:
+			if k < 0 {
+				list = append(list, entry{num: num, msg: msg})
+			}
+		case opConfirm:
+			if k >= 0 {
+				list[k].sure = true
+			}
+		case opStart:
+			if k >= 0 {
+				list[k].started = true
+			}
+		case opEnd:
+			if k >= 0 {
+				list = slices.Delete(list, k, k+1)
+			}
+		}
+	}
+	return list
+}
+
+func dump(list []entry) (b []byte) {
+	for _, e := range list {
+		b = append(b, opTaken, byte(e.num), byte(e.msg))
+		if e.sure {
+			b = append(b, opConfirm, byte(e.num), byte(e.msg))
+		}
+		if e.started {
+			b = append(b, opStart, byte(e.num), byte(e.msg))
+		}
+	}
+	return b
+}
+
+type memStore map[string][]byte
+
+func (s memStore) Reset(owner string, _ Kept, r []byte) error { s[owner] = slices.Clone(r); return nil }
+func (s memStore) Append(owner string, _ Kept, r []byte) error {
+	s[owner] = append(s[owner], r...)
+	return nil
+}
+func (s memStore) Mark(string, Kept) error  { return nil }
+func (s memStore) Live(owner string) []byte { return dump(live(s[owner])) }
+func (s memStore) Size(owner string) int64  { return int64(len(s[owner])) }
+
+// ledger is what befell one message.
+type ledger struct {
+	unsafe    bool
+	taken     bool // its client has heard 202
+	refused   bool
+	effects   int
+	out       []string // members whose attempts are out
+	ended     int      // final answers
+	notices   int      // of these, that it was given up
+	deliverAt []string
+}
+
+type member struct {
+	w           *world
+	name        string
+	up          bool
+	stopped     int64
+	cutUntil    int64
+	boot        uint64
+	incarnation uint64
+	session     uint64
+	last        uint64 // the session that it had last, in this life or before
+	contact     int64  // with the fleet
+	sent        int64  // the contact that counts for its own lease
+	life        int
+
+	// what its disk keeps
+	journal []entry
+	next    uint64
+	store   memStore
+	kept    map[string]Kept
+
+	owner  *Owner
+	holder *Holder
+	heirs  map[string]*Heir
+	wait   []waiting
+	calls  []*attempt
+	inbox  []func()
+}
+
+type waiting struct {
+	seq  uint64
+	till int64
+	do   func(kept bool)
+}
+
+type attempt struct {
+	num  uint64
+	ends int64
+}
+
+type world struct {
+	rng     *rand.Rand
+	now     int64
+	state   *duty.State
+	index   uint64
+	members []*member
+	frames  []frame
+	msgs    []*ledger
+	breach  string
+	count   int
+	needed  int
+	loss    bool
+	guards  guards
+	adopted int
+	over    []partnerEnd
+}
+
+// partnerEnd is the end of an attempt at the partner, whatever becomes of its answer.
+type partnerEnd struct {
+	at   int64
+	l    *ledger
+	from string
+}
+
+// guards are taken out one by one.
+type guards struct {
+	holder     HolderBreak
+	answerSoon bool // 202 before the copies are acknowledged
+	startSoon  bool // the first byte before "attempt begun" is acknowledged, for a class that forbids repeats
+	noLease    bool // attempts are started whatever the lease says
+	keepAll    bool // an owner that is back drops nothing
+	noConfirm  bool // an heir sends what its client may have been refused
+	sendSoon   bool // an heir sends before the fleet has agreed
+}
+
+type frame struct {
+	at   int64
+	from *member
+	to   *member
+	f    *pb.Frame
+}
+
+func newWorld(seed uint64, members, count, needed int, g guards) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 9)), state: duty.New(nil), count: count, needed: needed, guards: g}
+	for i := range members {
+		m := &member{w: w, name: fmt.Sprint("m", i), incarnation: uint64(i + 1)}
+		w.members = append(w.members, m)
+		m.start()
+	}
+	return w
+}
+
+func (w *world) apply(c *pb.Command) duty.Result {
+	w.index++
+	return w.state.Apply(w.index, 1, c)
+}
+
+func (w *world) member(name string) *member {
+	for _, m := range w.members {
+		if m.name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+func (m *member) start() {
+	m.up, m.boot, m.life, m.stopped = true, m.boot+1, m.life+1, 0
+	if m.store == nil {
+		m.store, m.kept = memStore{}, map[string]Kept{}
+	}
+	m.owner = NewOwner(m.name, m.incarnation)
+	m.holder = NewHolder(m.store, 1<<20, m.kept)
+	m.holder.Break = m.w.guards.holder
+	m.heirs, m.wait, m.calls, m.session, m.inbox = map[string]*Heir{}, nil, nil, 0, nil
+	for i := range m.journal {
+		m.journal[i].out = false
+	}
+}
+
+func (m *member) lose() {
+	m.journal, m.store, m.kept = nil, memStore{}, map[string]Kept{}
+	m.incarnation += 100
+	m.next = 0
+}
+
+func (m *member) runs() bool { return m.up && m.w.now >= m.stopped }
+
+func (m *member) reaches() bool { return m.runs() && m.w.now >= m.cutUntil }
+
+// valid reports whether its lease holds by its own count.
+func (m *member) valid() bool { return m.session != 0 && m.w.now-m.sent < leaseHold }
+
+func (m *member) mine() *pb.Duty {
+	for _, d := range m.w.state.Duties() {
+		if d.Name == duty.Own(m.name) && d.Session == m.session && m.session != 0 {
+			return d
+		}
+	}
+	return nil
+}
+
+func (w *world) step() {
+	w.now += tick
+	for _, m := range w.members {
+		if m.reaches() {
+			m.fleet()
+		}
+	}
+	for _, m := range w.members {
+		if w.state.Session(m.last) != nil && w.now-m.contact > leaseWait {
+			w.apply(&pb.Command{What: &pb.Command_Close{Close: &pb.Close{Session: m.last}}})
+		}
+	}
+	for i := 0; i < len(w.frames); i++ {
+		f := w.frames[i]
+		if f.at > w.now {
+			continue
+		}
+		w.frames = slices.Delete(w.frames, i, i+1)
+		i--
+		if !f.to.up || w.now < f.to.cutUntil || w.now < f.from.cutUntil {
+			continue
+		}
+		if w.now < f.to.stopped {
+			f.to.inbox = append(f.to.inbox, func() { f.to.receive(f) })
+			continue
+		}
+		f.to.receive(f)
+	}
+	w.over = slices.DeleteFunc(w.over, func(p partnerEnd) bool {
+		if p.at > w.now {
+			return false
+		}
+		if i := slices.Index(p.l.out, p.from); i >= 0 {
+			p.l.out = slices.Delete(p.l.out, i, i+1)
+		}
+		return true
+	})
+	for _, m := range w.members {
+		if m.runs() {
+			for _, do := range m.inbox {
+				do()
+			}
+			m.inbox = nil
+			m.work()
+		}
+	}
+	w.judge(false)
+}
+
+func (w *world) send(from *member, list []Out) {
+	for _, o := range list {
+		if w.loss && w.rng.IntN(4) == 0 {
+			continue
+		}
+		if to := w.member(o.To); to != nil {
+			w.frames = append(w.frames, frame{w.now + w.rng.Int64N(int64(30*time.Millisecond)), from, to, o.Frame})
+		}
+	}
+}
+
+// fleet is a member's part in the agreement: its session, its own duty, and those of the owners that it keeps.
+func (m *member) fleet() {
+	w := m.w
+	if s := w.state.Session(m.session); s == nil {
+		if m.session != 0 {
+			m.session = 0
+			m.owner.Begin(0)
+		}
+		r := w.apply(&pb.Command{What: &pb.Command_Open{Open: &pb.Open{Member: m.name, Incarnation: m.incarnation, Boot: m.boot, Seq: w.index}}})
+		if r.Err != nil {
+			return
+		}
+		m.session, m.last = r.Session, r.Session
+	}
+	m.contact, m.sent = w.now, w.now
+	w.apply(&pb.Command{What: &pb.Command_Acquire{Acquire: &pb.Acquire{Session: m.session, Duty: duty.Own(m.name)}}})
+	for _, d := range w.state.Duties() {
+		if d.Name != duty.Own(m.name) && slices.Contains(d.Holders, m.name) {
+			w.apply(&pb.Command{What: &pb.Command_Acquire{Acquire: &pb.Acquire{Session: m.session, Duty: d.Name}}})
+		}
+	}
+	m.own()
+	m.inherit()
+}
+
+// own begins the epoch of its own journal, drops what was handed on, and sees to its holders.
+func (m *member) own() {
+	w, d := m.w, m.mine()
+	if d == nil {
+		m.owner.Begin(0)
+		return
+	}
+	if m.owner.Epoch() != d.Token {
+		if a := w.state.Adopted(m.name); a != nil && a.Incarnation == m.incarnation && !w.guards.keepAll {
+			m.journal = slices.DeleteFunc(m.journal, func(e entry) bool { return e.num <= a.Upto })
+			m.calls = nil
+			for i := range m.wait {
+				m.wait[i].till = 0
+			}
+			m.next = max(m.next, a.Upto)
+		}
+		m.owner.Begin(d.Token)
+	}
+	m.owner.Holders(d.Holders)
+	var there []placement.Member
+	present := map[string]bool{}
+	for _, p := range w.state.Present() {
+		there = append(there, placement.Member{Name: p.Name, Zone: p.Zone})
+		present[p.Name] = true
+	}
+	wanted := placement.Choose(m.name, "", w.count, there)
+	next := placement.Next(d.Holders, wanted, m.owner.Synced, func(n string) bool { return present[n] })
+	if !slices.Equal(next, d.Holders) {
+		w.apply(&pb.Command{What: &pb.Command_Keep{Keep: &pb.Keep{Session: m.session, Duty: d.Name, Token: d.Token, Holders: next}}})
+		m.owner.Holders(next)
+	}
+}
+
+// inherit takes over what lost owners had.
+func (m *member) inherit() {
+	w := m.w
+	for _, d := range w.state.Duties() {
+		owner := d.Name[len(duty.Own("")):]
+		if owner == m.name || d.Session != m.session {
+			continue
+		}
+		h := m.heirs[owner]
+		if h == nil || h.Epoch != d.Token {
+			h = NewHeir(owner, d.Token, d.Holders, w.state.Adopted(owner))
+			m.heirs[owner] = h
+		}
+		w.send(m, h.Take(w.now))
+		stage := h.Look(func(name string) bool {
+			return slices.ContainsFunc(w.state.Present(), func(p *pb.Present) bool { return p.Name == name })
+		})
+		switch stage {
+		case Ready:
+			m.bring(h, d)
+		case Done:
+			w.apply(&pb.Command{What: &pb.Command_Release{Release: &pb.Release{Session: m.session, Duty: d.Name, Token: d.Token}}})
+		}
+	}
+}
+
+// bring puts what was found into the heir's own journal, copies it, and has the fleet agree.
+func (m *member) bring(h *Heir, d *pb.Duty) {
+	h.Stage = Copying
+	var records []byte
+	var nums []uint64
+	for _, e := range live(h.Found.Records) {
+		m.next++
+		e.num, e.pending, e.token = m.next, d.Name, d.Token
+		if m.w.guards.sendSoon {
+			e.pending = ""
+		}
+		m.journal = append(m.journal, e)
+		nums = append(nums, e.num)
+		records = append(records, dump([]entry{e})...)
+	}
+	life := m.life
+	m.await(m.append(records), func(kept bool) {
+		if m.life != life {
+			return
+		}
+		h.Stage = Sealing
+		if !kept || m.session != d.Session { // it begins again
+			m.discard(nums)
+			h.Stage, h.nextAt = Sealing, 0
+			return
+		}
+		r := m.w.apply(&pb.Command{What: &pb.Command_Adopt{Adopt: &pb.Adopt{Session: m.session, Duty: d.Name, Token: d.Token, Incarnation: h.Found.Incarnation, Upto: h.Found.Upto}}})
+		if r.Err != nil {
+			m.discard(nums)
+			return
+		}
+		m.w.adopted++
+		for i := range m.journal {
+			if slices.Contains(nums, m.journal[i].num) {
+				m.journal[i].pending = ""
+			}
+		}
+		h.Stage = Done
+	})
+}
+
+func (m *member) discard(nums []uint64) {
+	var records []byte
+	for _, e := range m.journal {
+		if slices.Contains(nums, e.num) {
+			records = append(records, opEnd, byte(e.num), byte(e.msg))
+		}
+	}
+	m.journal = slices.DeleteFunc(m.journal, func(e entry) bool { return slices.Contains(nums, e.num) })
+	m.append(records)
+}
+
+// append writes records to the journal's copies.
+func (m *member) append(records []byte) uint64 { return m.owner.Append(m.w.now, records, m.next) }
+
+func (m *member) await(seq uint64, do func(kept bool)) {
+	m.wait = append(m.wait, waiting{seq, m.w.now + patience, do})
+}
+
+// settled takes out the pending adoptions that an earlier life of this member left: the fleet knows what came of them.
+func (m *member) settled() {
+	for i := 0; i < len(m.journal); i++ {
+		e := &m.journal[i]
+		if e.pending == "" {
+			continue
+		}
+		owner := e.pending[len(duty.Own("")):]
+		if a := m.w.state.Adopted(owner); a != nil && a.Token == e.token && a.By == m.name {
+			e.pending = ""
+		} else if h := m.heirs[owner]; h == nil || h.Epoch != e.token {
+			m.append([]byte{opEnd, byte(e.num), byte(e.msg)})
+			m.journal = slices.Delete(m.journal, i, i+1)
+			i--
+		}
+	}
+}
+
+func (m *member) receive(f frame) {
+	w := m.w
+	switch x := f.f.What.(type) {
+	case *pb.Frame_Copy:
+		if a := m.holder.Copy(x.Copy); a != nil {
+			k, _ := m.holder.Kept(x.Copy.Owner)
+			m.kept[x.Copy.Owner] = k
+			w.send(m, []Out{{f.from.name, &pb.Frame{What: &pb.Frame_Copied{Copied: a}}}})
+		}
+	case *pb.Frame_Copied:
+		m.owner.Copied(w.now, f.from.name, x.Copied)
+	case *pb.Frame_Seal:
+		if a := m.holder.Seal(x.Seal); a != nil {
+			k, _ := m.holder.Kept(x.Seal.Owner)
+			m.kept[x.Seal.Owner] = k
+			w.send(m, []Out{{f.from.name, &pb.Frame{What: &pb.Frame_Sealed{Sealed: a}}}})
+		}
+	case *pb.Frame_Sealed:
+		if h := m.heirs[x.Sealed.Owner]; h != nil {
+			h.Sealed(f.from.name, x.Sealed)
+		}
+	}
+}
+
+// work is a sender's step: what waits for copies goes on or is given up, calls end, and calls begin.
+func (m *member) work() {
+	w := m.w
+	if m.reaches() && m.session != 0 {
+		m.settled()
+	}
+	committed := m.owner.Committed(w.needed)
+	waits := m.wait
+	m.wait = nil
+	for _, x := range waits {
+		switch {
+		case committed >= x.seq && m.valid():
+			x.do(true)
+		case w.now > x.till:
+			x.do(false)
+		default:
+			m.wait = append(m.wait, x)
+		}
+	}
+	for i := 0; i < len(m.calls); i++ {
+		if c := m.calls[i]; w.now >= c.ends {
+			m.calls = slices.Delete(m.calls, i, i+1)
+			i--
+			m.ended(c)
+		}
+	}
+	if m.valid() && m.owner.Epoch() != 0 || w.guards.noLease {
+		var nums []uint64
+		for _, e := range m.journal {
+			nums = append(nums, e.num)
+		}
+		for _, num := range nums {
+			if e := m.find(num); e != nil {
+				m.try(e)
+			}
+		}
+	}
+	w.send(m, m.owner.Take(w.now, func() []byte { return dump(m.journal) }))
+}
+
+// try begins an attempt of a message that is held, or ends one that may not be repeated.
+func (m *member) try(e *entry) {
+	w := m.w
+	l := w.msgs[e.msg]
+	if e.out || e.pending != "" || slices.ContainsFunc(m.wait, func(x waiting) bool { return x.seq == 0 }) || e.token == 0 && !e.sure && m.unheard(e) {
+		return
+	}
+	if e.started && l.unsafe || !e.sure && e.token != 0 && !w.guards.noConfirm { // it may have run, or was refused: it ends at once
+		l.ended++
+		l.notices++
+		l.deliverAt = append(l.deliverAt, m.name+" gave it up")
+		m.end(e.num)
+		return
+	}
+	e.started, e.out = true, true
+	seq := m.append([]byte{opStart, byte(e.num), byte(e.msg)})
+	num, life := e.num, m.life
+	begin := func(kept bool) {
+		k := m.find(num)
+		if m.life != life || k == nil {
+			return
+		}
+		if !kept {
+			k.out, k.started = false, false
+			m.append([]byte{opTaken, byte(num), byte(k.msg)})
+			return
+		}
+		l.out = append(l.out, m.name)
+		l.effects++
+		if len(l.out) > 1 {
+			w.bad("message %d: attempts of %v out at once", k.msg, l.out)
+		}
+		m.calls = append(m.calls, &attempt{num, w.now + callTakes})
+		w.over = append(w.over, partnerEnd{w.now + callTakes, l, m.name})
+	}
+	if l.unsafe && !w.guards.startSoon {
+		m.await(seq, begin)
+	} else {
+		begin(true)
+	}
+}
+
+// unheard reports whether the client of a message has not heard yet that it was taken on here.
+func (m *member) unheard(e *entry) bool { return !m.w.guards.answerSoon }
+
+func (m *member) find(num uint64) *entry {
+	for i := range m.journal {
+		if m.journal[i].num == num {
+			return &m.journal[i]
+		}
+	}
+	return nil
+}
+
+func (m *member) end(num uint64) {
+	if e := m.find(num); e != nil {
+		m.append([]byte{opEnd, byte(num), byte(e.msg)})
+		m.journal = slices.DeleteFunc(m.journal, func(e entry) bool { return e.num == num })
+	}
+}
+
+// ended is the end of a call: many fail, so that something is always held.
+func (m *member) ended(c *attempt) {
+	e := m.find(c.num)
+	if e == nil {
+		return
+	}
+	l := m.w.msgs[e.msg]
+	e.out = false
+	if m.w.rng.IntN(4) < 3 && !l.unsafe { // it failed, and may have run
+		return
+	}
+	l.ended++
+	l.deliverAt = append(l.deliverAt, m.name)
+	m.end(e.num)
+}
+
+// hand hands a message in at a member.
+func (w *world) hand(m *member, unsafe bool) {
+	if !m.runs() || !m.valid() || m.owner.Epoch() == 0 || len(w.msgs) > 250 {
+		return
+	}
+	l := &ledger{unsafe: unsafe}
+	w.msgs = append(w.msgs, l)
+	m.next++
+	e := entry{num: m.next, msg: len(w.msgs) - 1}
+	m.journal = append(m.journal, e)
+	seq := m.append([]byte{opTaken, byte(e.num), byte(e.msg)})
+	life := m.life
+	answer := func(kept bool) {
+		if m.life != life || m.find(e.num) == nil {
+			return
+		}
+		if kept {
+			l.taken = true
+			m.find(e.num).sure = true
+			m.append([]byte{opConfirm, byte(e.num), byte(e.msg)})
+		} else {
+			l.refused = true
+			m.end(e.num)
+		}
+	}
+	if w.guards.answerSoon {
+		answer(true)
+	} else {
+		m.await(seq, answer)
+	}
+}
+
+func (w *world) bad(format string, args ...any) {
+	if w.breach == "" {
+		w.breach = fmt.Sprintf("%v: ", time.Duration(w.now)) + fmt.Sprintf(format, args...)
+	}
+}
+
+// judge holds the ledgers side by side. At the end, every message that was taken on has had its final answer.
+func (w *world) judge(end bool) {
+	for i, l := range w.msgs {
+		switch {
+		case l.unsafe && l.effects > 1:
+			w.bad("message %d may not be repeated and took effect %d times (%v)", i, l.effects, l.deliverAt)
+		case l.refused && l.effects > 0:
+			w.bad("message %d was refused and sent", i)
+		case l.notices > 1 || l.unsafe && l.ended > 1+l.notices:
+			// One that was delivered may be given up once as well, by an heir that can't know: the platform takes
+			// a notice about what is over as harmless, as it does after a crash between an answer and its record.
+			w.bad("message %d has %d final answers (%v)", i, l.ended, l.deliverAt)
+		case end && l.taken && l.ended == 0:
+			w.bad("message %d was taken on and lost", i)
+		}
+	}
+}
+
+// faulty plays a run with one fault at a time, each of which is over before the next, and judges it.
+func (w *world) play(faults []modelFault) {
+	at := int64(time.Second)
+	for _, f := range faults {
+		for w.now < at {
+			w.traffic()
+			w.step()
+		}
+		m := w.members[f.who%len(w.members)]
+		d := int64(f.length)
+		switch f.kind {
+		case 0, 1: // the machine is lost with its disk, and a new one comes
+			if m.up {
+				m.up = false
+				m.gone()
+				m.lose()
+			}
+		case 2:
+			m.up = false
+			m.gone()
+		case 3:
+			m.stopped = w.now + d
+		case 4:
+			m.cutUntil = w.now + d
+		case 5:
+			w.loss = true
+		}
+		end := w.now + d
+		for w.now < end {
+			w.traffic()
+			w.step()
+		}
+		w.loss = false
+		if !m.up {
+			m.start()
+		}
+		at = w.now + int64(2500*time.Millisecond)
+		if w.breach != "" {
+			return
+		}
+	}
+	for end := w.now + int64(6*time.Second); w.now < end && w.breach == ""; {
+		w.step()
+	}
+	w.judge(true)
+}
+
+// gone ends the attempts of a process that is no more: its connections are closed.
+func (m *member) gone() {
+	for _, l := range m.w.msgs {
+		l.out = slices.DeleteFunc(l.out, func(n string) bool { return n == m.name })
+	}
+}
+
+func (w *world) traffic() {
+	if w.rng.IntN(8) == 0 {
+		w.hand(w.members[w.rng.IntN(len(w.members))], w.rng.IntN(2) == 0)
+	}
+}
+
+type modelFault struct {
+	kind, who int
+	length    time.Duration
+}
+
+func drawFaults(t *rapid.T) []modelFault {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) modelFault {
+		return modelFault{rapid.IntRange(0, 5).Draw(t, "kind"), rapid.IntRange(0, 3).Draw(t, "who"),
+			time.Duration(rapid.IntRange(20, 2000).Draw(t, "length")) * time.Millisecond}
+	}), 1, 3).Draw(t, "faults")
+}
+
+// TestPromise: whatever befalls one member at a time, each message whose client heard 202 has its final answer, one
+// that may not be repeated takes effect once at most, and no two members have attempts of one message out at once.
+func TestPromise(t *testing.T) {
+	adopted := 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), 4, 2, 1, guards{})
+		w.play(drawFaults(t))
+		if w.breach != "" {
+			t.Fatal(w.breach)
+		}
+		adopted += w.adopted
+	})
+	if adopted == 0 {
+		t.Error("nothing was ever adopted")
+	}
+	t.Logf("%d adoptions", adopted)
+}
+
+// run plays three faults that a seed draws.
+func run(seed uint64, g guards, kinds []int) *world {
+	rng := rand.New(rand.NewPCG(seed, 77))
+	w := newWorld(seed, 4, 2, 1, g)
+	var faults []modelFault
+	for range 3 {
+		faults = append(faults, modelFault{kinds[rng.IntN(len(kinds))], rng.IntN(4), time.Duration(20+rng.IntN(2000)) * time.Millisecond})
+	}
+	w.play(faults)
+	return w
+}
+
+// TestSeeds plays the runs by which guards are found with all guards in.
+func TestSeeds(t *testing.T) {
+	n := uint64(40)
+	if v, err := strconv.Atoi(os.Getenv("SLIPTIDE_SCHEDULES")); err == nil {
+		n = uint64(v)
+	}
+	for seed := range n {
+		if w := run(seed, guards{}, []int{0, 1, 2, 3, 4, 5}); w.breach != "" {
+			t.Fatalf("seed %d: %s", seed, w.breach)
+		}
+	}
+}
+
+// TestGuards takes each guard out in turn: the checker must find it.
+func TestGuards(t *testing.T) {
+	all := []int{0, 1, 2, 3, 4, 5}
+	for name, c := range map[string]struct {
+		guards
+		kinds []int
+	}{
+		"202 before the copies are acknowledged":      {guards{answerSoon: true}, all},
+		"first byte before the start is acknowledged": {guards{startSoon: true}, []int{0, 2}},
+		"attempts whatever the lease says":            {guards{noLease: true}, []int{4}},
+		"an owner that is back drops nothing":         {guards{keepAll: true}, all},
+		"batches with holes are taken":                {guards{holder: BreakHoles}, []int{0, 5}},
+		"an heir sends before the fleet has agreed":   {guards{sendSoon: true}, all},
+		"what may have been refused is sent":          {guards{noConfirm: true}, []int{3, 4}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(300) {
+				if w := run(seed, c.guards, c.kinds); w.breach != "" {
+					t.Logf("found by run %d: %s", seed, w.breach)
+					return
+				}
+			}
+			t.Error("300 runs do not find that the guard is out")
+		})
+	}
+}
+
+// TestTwoLost: with two copies that the 202 waits for, an owner and one of its holders may be lost at once.
+func TestTwoLost(t *testing.T) {
+	for seed := range uint64(30) {
+		w := newWorld(seed, 5, 2, 2, guards{})
+		for w.now < int64(2*time.Second) {
+			w.traffic()
+			w.step()
+		}
+		first := w.members[seed%5]
+		second := w.member(first.mine().GetHolders()[seed/5%2])
+		for _, m := range []*member{first, second} {
+			m.up = false
+			m.gone()
+			m.lose()
+		}
+		for range 600 {
+			w.step()
+		}
+		first.start()
+		second.start()
+		for range 1000 {
+			w.step()
+		}
+		if w.judge(true); w.breach != "" {
+			t.Errorf("seed %d: %s", seed, w.breach)
+		}
+	}
+}
--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"slices"
 	"sort"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -54,7 +55,7 @@
 	Word    string
 	WordBy  uint64 // the token that it was said with
 	Waiting []uint64
-	changed uint64
+	Holders []string // members that may keep copies of its holder's journal
 }
 
 // State is all that was agreed on. The zero value is not ready: see New.
@@ -65,23 +66,25 @@
 	names    map[string]uint64 // member to session
 	duties   map[string]*Duty
 	removed  map[string]bool
+	adopted  map[string]*pb.Adoption // by owner, the last
 	voters   map[uint64]string
 	changed  []*pb.Duty // by the command that is applied
 }
 
 // New returns the state of a fleet that has agreed on nothing but its voters.
 func New(voters map[uint64]string) *State {
-	return &State{sessions: map[uint64]*Session{}, names: map[string]uint64{}, duties: map[string]*Duty{}, removed: map[string]bool{}, voters: voters}
+	return &State{sessions: map[uint64]*Session{}, names: map[string]uint64{}, duties: map[string]*Duty{}, removed: map[string]bool{}, adopted: map[string]*pb.Adoption{}, voters: voters}
 }
 
 // Result is what a command came to.
 type Result struct {
 	Err     error
-	Session uint64     // of an Open
-	Duty    *pb.Duty   // after the command, where it names one
-	Changed []*pb.Duty // all that became different
-	Began   uint64     // the session that began,
-	Ended   []uint64   // and those that ended
+	Session uint64       // of an Open
+	Duty    *pb.Duty     // after the command, where it names one
+	Changed []*pb.Duty   // all that became different
+	Began   uint64       // the session that began,
+	Ended   []uint64     // and those that ended
+	Adopted *pb.Adoption // what was handed on, of an Adopt
 }
 
 // Apply applies the command at that place in the log, in that term of the voters' agreement.
@@ -116,6 +119,12 @@
 		r.Duty = s.shown(w.Say.Duty)
 	case *pb.Command_Remove:
 		r.Err = s.remove(w.Remove.Member)
+	case *pb.Command_Keep:
+		r.Err = s.keep(w.Keep)
+		r.Duty = s.shown(w.Keep.Duty)
+	case *pb.Command_Adopt:
+		r.Adopted, r.Err = s.adopt(w.Adopt)
+		r.Duty = s.shown(w.Adopt.Duty)
 	default:
 		r.Err = ErrCommand
 	}
@@ -145,18 +154,35 @@
 			// A late copy of an earlier wish. It must not end a session whose member relies on its lease.
 			return Result{Err: ErrSession}
 		}
-		if err := s.end(old.Id); err == nil {
-			ended = []uint64{old.Id}
-		}
+		ended = []uint64{old.Id}
+		defer s.succeed(old.Id, index)
 	}
-	if len(s.sessions) >= MaxSessions {
-		return Result{Err: ErrFull, Ended: ended}
+	if len(s.sessions)-len(ended) >= MaxSessions {
+		return Result{Err: ErrFull}
 	}
 	s.sessions[index] = &Session{Session: &pb.Session{Id: index, Member: o.Member, Incarnation: o.Incarnation, Boot: o.Boot, Seq: o.Seq, Zone: o.Zone, Weight: o.Weight}}
 	s.names[o.Member] = index
 	return Result{Session: index, Began: index, Ended: ended}
 }
 
+// succeed gives what a process held for its own folder to the next process of that folder, with a new token, and
+// ends the old one's session: nobody need take over what is not lost.
+func (s *State) succeed(old, next uint64) {
+	if d := s.duties[Own(s.sessions[old].Member)]; d != nil && d.Session == old && s.sessions[next] != nil {
+		s.want(d, "")
+		s.token++
+		d.Session, d.Token = next, s.token
+		s.sessions[old].holds--
+		s.sessions[next].holds++
+		s.note(d)
+	}
+	member := s.sessions[old].Member
+	s.end(old)
+	if s.sessions[next] != nil {
+		s.names[member] = next
+	}
+}
+
 // end ends a session; what it held goes to the next in line.
 func (s *State) end(id uint64) error {
 	old := s.sessions[id]
@@ -374,6 +400,88 @@
 	return nil
 }
 
+// Own is the duty of a member's own journal: the member holds it, and when its session is over, its heir.
+func Own(member string) string { return "own/" + member }
+
+// held is the duty that a session holds with that token.
+func (s *State) held(name string, session, token uint64) (*Duty, error) {
+	d := s.duties[name]
+	if d == nil {
+		return nil, ErrUnknown
+	}
+	if d.Session != session || d.Token != token {
+		return nil, ErrToken
+	}
+	return d, nil
+}
+
+func (s *State) keep(k *pb.Keep) error {
+	d, err := s.held(k.Duty, k.Session, k.Token)
+	if err != nil {
+		return err
+	}
+	if len(k.Holders) > MaxWaiting {
+		return ErrFull
+	}
+	for _, name := range k.Holders {
+		if !named(name) {
+			return ErrName
+		}
+	}
+	if !slices.Equal(d.Holders, k.Holders) {
+		d.Holders = slices.Clone(k.Holders)
+		s.note(d)
+	}
+	return nil
+}
+
+// adopt hands an owner's messages on to the heir that holds its duty. From here on they are the heir's, whoever
+// comes back.
+func (s *State) adopt(a *pb.Adopt) (*pb.Adoption, error) {
+	d, err := s.held(a.Duty, a.Session, a.Token)
+	if err != nil {
+		return nil, err
+	}
+	v := s.sessions[a.Session]
+	owner, own := strings.CutPrefix(a.Duty, Own(""))
+	if !own || v == nil || owner == v.Member {
+		return nil, ErrUnknown
+	}
+	if len(s.adopted) >= MaxSessions && s.adopted[owner] == nil {
+		return nil, ErrFull
+	}
+	ad := &pb.Adoption{Owner: owner, Incarnation: a.Incarnation, Upto: a.Upto, Token: a.Token, By: v.Member}
+	s.adopted[owner] = ad
+	d.Holders = nil // what they keep of it is void
+	s.note(d)
+	return ad, nil
+}
+
+// Adopted is the last adoption of an owner's messages, nil if there was none.
+func (s *State) Adopted(owner string) *pb.Adoption { return s.adopted[owner] }
+
+// Adoptions are the last ones of all owners, by name.
+func (s *State) Adoptions() []*pb.Adoption {
+	list := make([]*pb.Adoption, 0, len(s.adopted))
+	for _, a := range s.adopted {
+		list = append(list, a)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Owner < list[j].Owner })
+	return list
+}
+
+// Present are the members whose sessions go on and are renewed, by name.
+func (s *State) Present() []*pb.Present {
+	list := make([]*pb.Present, 0, len(s.sessions))
+	for _, v := range s.sessions {
+		if !v.Closing {
+			list = append(list, &pb.Present{Name: v.Member, Zone: v.Zone})
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
+
 func (s *State) say(w *pb.Say) error {
 	if len(w.Word) > MaxName {
 		return ErrName
@@ -410,12 +518,11 @@
 // note records that a duty has become different.
 func (s *State) note(d *Duty) {
 	s.version++
-	d.changed = s.version
 	s.changed = append(s.changed, s.show(d))
 }
 
 func (s *State) show(d *Duty) *pb.Duty {
-	p := &pb.Duty{Name: d.Name, Zone: d.Zone, Session: d.Session, Token: d.Token, Wanted: d.Wanted, Word: d.Word, WordToken: d.WordBy}
+	p := &pb.Duty{Name: d.Name, Zone: d.Zone, Session: d.Session, Token: d.Token, Wanted: d.Wanted, Word: d.Word, WordToken: d.WordBy, Holders: d.Holders}
 	if v := s.sessions[d.Session]; v != nil {
 		p.Holder = v.Member
 	}
@@ -489,6 +596,7 @@
 		p.Removed = append(p.Removed, name)
 	}
 	slices.Sort(p.Removed)
+	p.Adoptions = s.Adoptions()
 	return proto.MarshalOptions{Deterministic: true}.Marshal(p)
 }
 
@@ -508,7 +616,7 @@
 		s.names[v.Member] = v.Id
 	}
 	for _, d := range p.Duties {
-		s.duties[d.Name] = &Duty{Name: d.Name, Zone: d.Zone, Session: d.Session, Token: d.Token, Wanted: d.Wanted, Word: d.Word, WordBy: d.WordToken, Waiting: d.Waiting}
+		s.duties[d.Name] = &Duty{Name: d.Name, Zone: d.Zone, Session: d.Session, Token: d.Token, Wanted: d.Wanted, Word: d.Word, WordBy: d.WordToken, Waiting: d.Waiting, Holders: d.Holders}
 		if v := s.sessions[d.Session]; v != nil {
 			v.holds++
 		}
@@ -518,6 +626,9 @@
 			s.plan(d, 1)
 		}
 	}
+	for _, a := range p.Adoptions {
+		s.adopted[a.Owner] = a
+	}
 	for _, name := range p.Removed {
 		s.removed[name] = true
 	}
