--- /dev/null
+++ b/cmd/sliptide/copies_test.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// taken counts, for each message, the calls that the partner took.
+func (m *team) taken() map[string]int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := map[string]int{}
+	for _, c := range m.calls {
+		if c.taken {
+			n[c.id]++
+		}
+	}
+	return n
+}
+
+// copying waits until each sender has the lease on its journal and takes messages on.
+func (m *team) copying() {
+	m.t.Helper()
+	for i, r := range m.rigs {
+		n := 0
+		m.await(fmt.Sprintf("n%d takes messages on", i), func() bool {
+			n++
+			resp, err := r.tryHandIn(fmt.Sprintf("n%d-warm-%d", i, n), 5, 12, "x")
+			if err != nil {
+				return false
+			}
+			resp.Body.Close()
+			return resp.StatusCode == 202
+		})
+	}
+}
+
+// final counts the final answers of each message: deliveries, and notices.
+func (m *team) final() map[string]int {
+	n := m.taken()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, e := range m.ends {
+		n[e.Message]++
+	}
+	return n
+}
+
+const copiesXML = `<copies enabled="true" count="2" needed="1"/>`
+
+// TestMachineLost: a sender that holds messages is killed and its folder is gone. Its heir delivers each of them once.
+// One whose 202 was under way in the last moment may be handed back instead: its heir can't know that it was told.
+func TestMachineLost(t *testing.T) {
+	m := newTeamWith(t, copiesXML, 4)
+	stop := make(chan struct{})
+	defer close(stop)
+	m.drain(stop)
+	m.copying()
+	m.set(true)
+	var ids []string
+	for i := range 12 {
+		id := fmt.Sprintf("n0-held-%d", i)
+		resp, err := m.rigs[0].tryHandIn(id, 5, 15, "two guests, one night")
+		if err != nil || resp.StatusCode != 202 {
+			t.Fatalf("%s: %v %v", id, resp, err)
+		}
+		resp.Body.Close()
+		ids = append(ids, id)
+	}
+	m.rigs[0].kill(syscall.SIGKILL)
+	m.rigs[0].proc = nil
+	if err := os.RemoveAll(m.rigs[0].state); err != nil {
+		t.Fatal(err)
+	}
+	lost := time.Now()
+	m.set(false)
+	m.await("all have their final answer by others", func() bool {
+		got := m.final()
+		for _, id := range ids {
+			if got[id] == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	t.Logf("all delivered %v after the loss", time.Since(lost).Round(10*time.Millisecond))
+	delivered := 0
+	for id, n := range m.final() {
+		if strings.HasPrefix(id, "n0-held") && n > 1 {
+			t.Errorf("%s has %d final answers", id, n)
+		}
+	}
+	for id := range m.taken() {
+		if strings.HasPrefix(id, "n0-held") {
+			delivered++
+		}
+	}
+	if delivered < len(ids)-2 {
+		t.Errorf("%d of %d were delivered", delivered, len(ids))
+	}
+}
+
+// TestOwnerIsBack: a sender that was stopped past its lease finds its messages taken over, and sends none of them.
+func TestOwnerIsBack(t *testing.T) {
+	m := newTeamWith(t, copiesXML, 4)
+	stop := make(chan struct{})
+	defer close(stop)
+	m.drain(stop)
+	m.copying()
+	m.set(true)
+	var ids []string
+	for i := range 8 {
+		id := fmt.Sprintf("n3-held-%d", i)
+		resp, err := m.rigs[3].tryHandIn(id, 5, 19, "x")
+		if err != nil || resp.StatusCode != 202 {
+			t.Fatalf("%s: %v %v", id, resp, err)
+		}
+		resp.Body.Close()
+		ids = append(ids, id)
+	}
+	m.rigs[3].proc.Process.Signal(syscall.SIGSTOP)
+	m.await("somebody has taken over", func() bool {
+		for _, r := range m.rigs[:3] {
+			if strings.Contains(r.logs.String(), `"copies: took over"`) {
+				return true
+			}
+		}
+		return false
+	})
+	m.rigs[3].proc.Process.Signal(syscall.SIGCONT)
+	m.rigs[3].awaitLog("messages were taken over while this sender was away")
+	m.set(false)
+	m.await("all have their final answer", func() bool {
+		got := m.final()
+		for _, id := range ids {
+			if got[id] == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	// The one that is back takes messages on again, and sends them itself.
+	m.await("it takes messages on again", func() bool {
+		resp, err := m.rigs[3].tryHandIn("n3-again-"+fmt.Sprint(time.Now().UnixNano()), 5, 12, "x")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == 202
+	})
+	for id, n := range m.final() {
+		if n > 1 && strings.HasPrefix(id, "n3-held") {
+			t.Errorf("%s has %d final answers", id, n)
+		}
+	}
+}
--- a/cmd/sliptide/fleet.go
+++ b/cmd/sliptide/fleet.go
@@ -31,6 +31,8 @@
 	room  *statedir.Account
 	log   zerolog.Logger
 	snd   *sender.Sender
+	keep  operator.Copies
+	space *statedir.Space
 
 	mu     sync.Mutex
 	member *fleet.Member
@@ -47,7 +49,7 @@
 	if !f.Has(cfg.Name) {
 		return nil, fmt.Errorf("%w: fleet: RELAY_NAME is %q, which is no <member>", cli.ErrConfig, cfg.Name)
 	}
-	m := &membership{files: fsys.OS{Dir: cfg.State}, room: space.Account(), log: log}
+	m := &membership{keep: f.Copies, space: space, files: fsys.OS{Dir: cfg.State}, room: space.Account(), log: log}
 	m.set = fleet.Settings{Name: cfg.Name, Listen: f.Listen, Members: peers(f), Minimum: f.Minimum, Weight: uint32(f.Weight),
 		Terms: lease.Terms{Length: f.Duties.Lease, Drift: f.Duties.Drift}, Election: f.Duties.Election, Hash: f.Hash()}
 	if m.set.Minimum == 0 {
@@ -79,6 +81,10 @@
 	}
 	m.snd = snd
 	snd.Join(m)
+	if c := op.Fleet.Copies; c.Enabled {
+		self, _ := m.set.Self()
+		snd.Copy(m, sender.CopySettings{Name: m.set.Name, Zone: self.Zone, Count: c.Count, Needed: c.Needed, Patience: c.Patience, Take: c.Take})
+	}
 	if op.Fleet.Trials.Enabled {
 		snd.ShareTrials(m, trial.Settings{Senders: senders, Bound: float64(op.Fleet.Trials.Bound) / float64(time.Millisecond)})
 	}
@@ -103,7 +109,11 @@
 	if err != nil {
 		return fmt.Errorf("fleet: listen: %w", err)
 	}
-	m.member, err = fleet.Open(fleet.Options{Settings: m.set, Files: m.files, Room: m.room, Log: m.log, Watch: m.heard}, ln)
+	o := fleet.Options{Settings: m.set, Files: m.files, Room: m.room, Log: m.log, Watch: m.heard}
+	if m.keep.Enabled {
+		o.CopyRoom, o.KeepRoom, o.Copied, o.Changed = m.keep.Room, m.space.Account(), m.snd.CopyNews, m.snd.Kick
+	}
+	m.member, err = fleet.Open(o, ln)
 	if err != nil {
 		return errors.Join(err, ln.Close())
 	}
@@ -114,6 +124,21 @@
 	m.snd.Heard(d.Name, trial.News{Holder: d.Holder, Mine: mine, Word: d.Word})
 }
 
+// stays reports whether the member is to be left only when its sender has: what it holds is copied until then.
+func (m *membership) stays() bool { return m != nil && m.keep.Enabled }
+
+// abandon ends this process's part without a word, for the next process of the same folder to go on in its place.
+func (m *membership) abandon() {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	member := m.member
+	m.left = true
+	m.mu.Unlock()
+	member.Abandon()
+}
+
 // leave gives up what is held and leaves the fleet; a later join does nothing.
 func (m *membership) leave() {
 	if m == nil {
@@ -163,6 +188,36 @@
 // Held implements sender.Fleet.
 func (m *membership) Held(duty string) uint64 { return m.get().Held(duty) }
 
+// Look implements sender.CopyFleet, as the others below.
+func (m *membership) Look() *fleet.Look {
+	if f := m.get(); f != nil {
+		return f.Look()
+	}
+	return &fleet.Look{}
+}
+
+// SendCopy implements sender.CopyFleet.
+func (m *membership) SendCopy(to string, f *pb.Frame) {
+	if member := m.get(); member != nil {
+		member.SendCopy(to, f)
+	}
+}
+
+// Ask implements sender.CopyFleet.
+func (m *membership) Ask(c *pb.Command, done func(error)) {
+	if f := m.get(); f != nil {
+		f.Ask(c, done)
+	}
+}
+
+// Incarnation implements sender.CopyFleet.
+func (m *membership) Incarnation() uint64 {
+	if f := m.get(); f != nil {
+		return f.Incarnation()
+	}
+	return 0
+}
+
 // Duties implements sender.Fleet.
 func (m *membership) Duties() int { return m.get().Duties() }
 
--- a/cmd/sliptide/run.go
+++ b/cmd/sliptide/run.go
@@ -181,11 +181,19 @@
 	case <-stop:
 	}
 	away := make(chan struct{})
+	upgraded := !place.waiting() && statedir.HeirWaits(cfg.State)
 	go func() { // what it holds is handed on at once, while its own calls still end
-		team.leave()
-		close(away)
+		defer close(away)
+		if team.stays() {
+			<-snd.Done()
+		}
+		if upgraded {
+			team.abandon()
+		} else {
+			team.leave()
+		}
 	}()
-	if !place.waiting() && statedir.HeirWaits(cfg.State) {
+	if upgraded {
 		log.Info().Msg("a new version waits: handing over")
 		handOver(server, snd, ln)
 	} else {
--- a/internal/fleet/copies/copies.go
+++ b/internal/fleet/copies/copies.go
@@ -69,6 +69,9 @@
 	}
 }
 
+// Of sets the folder whose journal it is.
+func (o *Owner) Of(incarnation uint64) { o.incarnation = incarnation }
+
 // Epoch is the token that is copied under, 0 if there is none.
 func (o *Owner) Epoch() uint64 { return o.epoch }
 
--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -162,6 +162,7 @@
 	}
 	s.sessions[index] = &Session{Session: &pb.Session{Id: index, Member: o.Member, Incarnation: o.Incarnation, Boot: o.Boot, Seq: o.Seq, Zone: o.Zone, Weight: o.Weight}}
 	s.names[o.Member] = index
+	s.version++
 	return Result{Session: index, Began: index, Ended: ended}
 }
 
@@ -189,6 +190,7 @@
 	if old == nil {
 		return ErrSession
 	}
+	s.version++
 	delete(s.sessions, id)
 	delete(s.names, old.Member)
 	for _, d := range s.sorted() {
@@ -452,6 +454,7 @@
 	}
 	ad := &pb.Adoption{Owner: owner, Incarnation: a.Incarnation, Upto: a.Upto, Token: a.Token, By: v.Member}
 	s.adopted[owner] = ad
+	s.version++
 	d.Holders = nil // what they keep of it is void
 	s.note(d)
 	return ad, nil
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -96,6 +96,12 @@
 	Files    fsys.FS
 	Room     *statedir.Account // nil: not bounded
 	Log      zerolog.Logger
+	// Copies are kept of others' journals within so many bytes; 0: none. Frames of copies that are for the sender go to
+	// Copied, and Changed tells that Look has something new; neither may wait.
+	CopyRoom int64
+	KeepRoom *statedir.Account // of the folder, for copies; nil: not bounded
+	Copied   func(from string, f *pb.Frame)
+	Changed  func()
 	Watch    func(d *pb.Duty, mine bool) // each change of a duty; it must not wait. nil: none
 	Now      func() int64                // nil: Now
 	// BreakVoter and BreakSession take guards out, for tests that show what finds that.
@@ -127,6 +133,10 @@
 	id      *pb.Identity
 	toVoter chan input
 	toOwn   chan input
+	toKeep  chan input
+	look    atomic.Pointer[Look]
+	seen    uint64 // the session's view that is published
+	seenID  uint64
 	held    atomic.Pointer[holds]
 	names   atomic.Pointer[map[string]bool]
 	wishes  wishes
@@ -142,11 +152,12 @@
 	if !known {
 		return nil, fmt.Errorf("fleet: RELAY_NAME is %q, which is no member of <fleet>", o.Settings.Name)
 	}
-	m := &Member{o: o, now: o.Now, self: self, toVoter: make(chan input, inboxMost), toOwn: make(chan input, inboxMost), closed: make(chan struct{}), wishes: wishes{kick: make(chan struct{}, 1)}}
+	m := &Member{o: o, now: o.Now, self: self, toVoter: make(chan input, inboxMost), toOwn: make(chan input, inboxMost), toKeep: make(chan input, inboxMost), closed: make(chan struct{}), wishes: wishes{kick: make(chan struct{}, 1)}}
 	if m.now == nil {
 		m.now = Now
 	}
 	m.held.Store(&holds{})
+	m.look.Store(&Look{})
 	m.SetMembers(o.Settings.Members)
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	log, err := disk.Open(o.Files, o.Room, self.Name)
@@ -173,10 +184,11 @@
 	}
 	m.net = link.New(link.Options{Self: self.Name, Incarnation: m.id.Incarnation, Settings: o.Settings.Hash, Dial: m.dials(), Known: m.known,
 		Client: o.Settings.Client, Server: o.Settings.Server, Receive: m.receive, Call: m.call, Note: m.noteLink})
-	m.done.Add(3)
+	m.done.Add(4)
 	go func() { defer m.done.Done(); m.net.Serve(ln) }()
 	go m.runSession()
 	go m.runVoter()
+	go m.runKeeper()
 	return m, nil
 }
 
@@ -229,6 +241,13 @@
 func (m *Member) receive(ctx context.Context, from string, f *pb.Frame) {
 	to := m.toVoter
 	switch w := f.What.(type) {
+	case *pb.Frame_Copied, *pb.Frame_Sealed:
+		if m.o.Copied != nil {
+			m.o.Copied(from, f)
+		}
+		return
+	case *pb.Frame_Copy, *pb.Frame_Seal:
+		to = m.toKeep
 	case *pb.Frame_News:
 		to = m.toOwn
 	case *pb.Frame_Answer:
@@ -310,6 +329,7 @@
 		h.until = now + int64(time.Hour)
 	}
 	m.held.Store(h)
+	m.publishLook()
 }
 
 func (m *Member) runVoter() {
@@ -464,7 +484,7 @@
 	defer cancel()
 	answers := make(chan *pb.Answer, 2)
 	if a.Status != nil && m.self.Voter {
-		m.look(ctx, answers)
+		m.askStatus(ctx, answers)
 	} else {
 		m.forward(ctx, a, answers)
 	}
@@ -476,7 +496,7 @@
 	}
 }
 
-func (m *Member) look(ctx context.Context, answers chan<- *pb.Answer) {
+func (m *Member) askStatus(ctx context.Context, answers chan<- *pb.Answer) {
 	f := func() {
 		r := &pb.Answer{}
 		if m.voter != nil {
@@ -554,6 +574,18 @@
 	case <-m.closed:
 	case <-time.After(closeFor):
 	}
+	m.end()
+}
+
+// Abandon ends the links without a word. The session goes on until it lapses, or the next process of this folder takes
+// its place.
+func (m *Member) Abandon() {
+	if m != nil {
+		m.end()
+	}
+}
+
+func (m *Member) end() {
 	m.cancel()
 	m.net.Close()
 	m.done.Wait()
--- /dev/null
+++ b/internal/fleet/keeper.go
@@ -0,0 +1,148 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+
+	"sliptide/internal/fleet/copies"
+	"sliptide/internal/fleet/copies/keep"
+	"sliptide/internal/fleet/duty"
+	"sliptide/internal/fleet/pb"
+)
+
+// Look is what a member knows of journals and their copies. It is not changed once it is published.
+type Look struct {
+	Session uint64
+	Own     map[string]*pb.Duty // by owner: the duty of its journal
+	Adopted map[string]*pb.Adoption
+	Present []*pb.Present
+}
+
+// Mine reports whether this member holds a duty by that look.
+func (l *Look) Mine(d *pb.Duty) bool { return d != nil && l.Session != 0 && d.Session == l.Session }
+
+// Is reports whether a member's session goes on.
+func (l *Look) Is(name string) bool {
+	return slices.ContainsFunc(l.Present, func(p *pb.Present) bool { return p.Name == name })
+}
+
+// Look is what is known now. It waits for nothing.
+func (m *Member) Look() *Look { return m.look.Load() }
+
+// Incarnation is the number of this member's folder.
+func (m *Member) Incarnation() uint64 { return m.id.Incarnation }
+
+// publishLook makes what the session knows readable, and sees to links with those that copies go to or come from.
+func (m *Member) publishLook() {
+	version, id := m.session.Version(), m.session.ID()
+	if m.o.CopyRoom == 0 || version == m.seen && id == m.seenID {
+		return
+	}
+	m.seen, m.seenID = version, id
+	view, adopted, present := m.session.View()
+	l := &Look{Session: id, Own: map[string]*pb.Duty{}, Adopted: map[string]*pb.Adoption{}, Present: present}
+	for name, d := range view {
+		if owner, own := strings.CutPrefix(name, duty.Own("")); own {
+			l.Own[owner] = d
+			m.keepers(owner, d)
+		}
+	}
+	for owner, a := range adopted {
+		l.Adopted[owner] = a
+	}
+	m.look.Store(l)
+	if m.o.Changed != nil {
+		m.o.Changed()
+	}
+}
+
+// keepers links this member with the others of a journal, and puts it in line for the journal of an owner that it
+// keeps copies of: one of those becomes the heir.
+func (m *Member) keepers(owner string, d *pb.Duty) {
+	all := append([]string{owner}, d.Holders...)
+	if !slices.Contains(all, m.self.Name) {
+		return
+	}
+	if owner != m.self.Name {
+		m.session.Want(d.Name, "")
+	}
+	for _, name := range all {
+		if m.self.Name < name {
+			for _, p := range m.o.Settings.Members {
+				if p.Name == name {
+					m.net.Reach(name, p.Addr)
+				}
+			}
+		}
+	}
+}
+
+// SendCopy sends a frame of copies to a member; it waits for nothing.
+func (m *Member) SendCopy(to string, f *pb.Frame) {
+	if to != m.self.Name {
+		m.net.Send(to, f)
+		return
+	}
+	select {
+	case m.toKeep <- input{from: to, frame: f}:
+	default: // it is sent again
+	}
+}
+
+// Ask has a command agreed on and tells what came of it, on a goroutine of the member's. It waits for nothing.
+func (m *Member) Ask(c *pb.Command, done func(error)) {
+	m.own(func() {
+		m.session.Do(&pb.Ask{Command: c}, m.o.Settings.Terms.Length, func(_ *pb.Answer, err error) { done(err) })
+	})
+}
+
+// runKeeper keeps copies of others' journals.
+func (m *Member) runKeeper() {
+	defer m.done.Done()
+	var holder *copies.Holder
+	if m.o.CopyRoom > 0 {
+		var owners []string
+		for _, p := range m.o.Settings.Members {
+			if p.Name != m.self.Name {
+				owners = append(owners, p.Name)
+			}
+		}
+		files, kept, err := keep.Open(m.o.Files, m.o.KeepRoom, owners)
+		if err != nil {
+			m.o.Log.Error().Err(err).Msg("fleet: copies cannot be kept here")
+		} else {
+			holder = copies.NewHolder(files, m.o.CopyRoom, kept)
+		}
+	}
+	for {
+		select {
+		case <-m.ctx.Done():
+			return
+		case in := <-m.toKeep:
+			if holder != nil {
+				m.keep(holder, in)
+			}
+		}
+	}
+}
+
+func (m *Member) keep(h *copies.Holder, in input) {
+	var answer *pb.Frame
+	switch w := in.frame.What.(type) {
+	case *pb.Frame_Copy:
+		if a := h.Copy(w.Copy); a != nil && w.Copy.Owner == in.from {
+			answer = &pb.Frame{What: &pb.Frame_Copied{Copied: a}}
+		}
+	case *pb.Frame_Seal:
+		if a := h.Seal(w.Seal); a != nil {
+			answer = &pb.Frame{What: &pb.Frame_Sealed{Sealed: a}}
+		}
+	}
+	switch {
+	case answer == nil:
+	case in.from == m.self.Name:
+		m.o.Copied(in.from, answer)
+	default:
+		m.net.Send(in.from, answer)
+	}
+}
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -64,6 +64,7 @@
 
 	mu    sync.Mutex
 	links map[string]*link
+	dials map[string]bool
 }
 
 type link struct {
@@ -80,7 +81,7 @@
 
 // New returns a Net, and dials.
 func New(o Options) *Net {
-	n := &Net{o: o, links: map[string]*link{}}
+	n := &Net{o: o, links: map[string]*link{}, dials: map[string]bool{}}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	opts := []grpc.ServerOption{grpc.MaxRecvMsgSize(frameMost), grpc.MaxConcurrentStreams(16), grpc.ConnectionTimeout(2 * time.Second),
 		grpc.ReadBufferSize(4 << 10), grpc.WriteBufferSize(4 << 10)}
@@ -90,12 +91,23 @@
 	n.server = grpc.NewServer(opts...)
 	pb.RegisterLinksServer(n.server, n)
 	for name, addr := range o.Dial {
-		n.done.Add(1)
-		go n.dial(name, addr)
+		n.Reach(name, addr)
 	}
 	return n
 }
 
+// Reach keeps a link to a further member up from now on. Of two members one alone is to reach the other.
+func (n *Net) Reach(name, addr string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.dials[name] || n.ctx.Err() != nil {
+		return
+	}
+	n.dials[name] = true
+	n.done.Add(1)
+	go n.dial(name, addr)
+}
+
 // Serve accepts links until Close.
 func (n *Net) Serve(ln net.Listener) error { return n.server.Serve(ln) }
 
--- a/internal/fleet/session/session.go
+++ b/internal/fleet/session/session.go
@@ -101,6 +101,8 @@
 	viewAt  int64
 	version uint64
 	view    map[string]*pb.Duty
+	adopted map[string]*pb.Adoption
+	present []*pb.Present
 	wants   map[string]*want
 	ops     map[uint64]string // ask to duty
 	asks    map[uint64]*ask
@@ -114,7 +116,7 @@
 	if o.Note == nil {
 		o.Note = func(string, string, uint64) {}
 	}
-	return &Session{o: o, target: o.Rand.IntN(len(o.Voters)), view: map[string]*pb.Duty{}, wants: map[string]*want{},
+	return &Session{o: o, target: o.Rand.IntN(len(o.Voters)), view: map[string]*pb.Duty{}, adopted: map[string]*pb.Adoption{}, wants: map[string]*want{},
 		ops: map[uint64]string{}, asks: map[uint64]*ask{}, next: o.Rand.Uint64() >> 1}
 }
 
@@ -201,6 +203,15 @@
 // Mine reports whether a duty is this session's by what it says.
 func (s *Session) Mine(d *pb.Duty) bool { return s.id != 0 && d.Session == s.id && !d.Ended }
 
+// View is all that is known of duties, of adoptions by owner, and of members whose sessions go on. None of it must be
+// changed.
+func (s *Session) View() (duties map[string]*pb.Duty, adopted map[string]*pb.Adoption, present []*pb.Present) {
+	return s.view, s.adopted, s.present
+}
+
+// Version grows with each change of what is known.
+func (s *Session) Version() uint64 { return s.version }
+
 // ID is the session's number, 0 if there is none.
 func (s *Session) ID() uint64 { return s.id }
 
@@ -567,6 +578,15 @@
 		return
 	}
 	s.version = n.To
+	if n.From == 0 {
+		clear(s.adopted)
+	}
+	for _, a := range n.Adoptions {
+		s.adopted[a.Owner] = a
+	}
+	if n.AllPresent {
+		s.present = n.Present
+	}
 	for _, d := range n.Duties {
 		s.see(d)
 	}
--- a/internal/fleet/voter/voter.go
+++ b/internal/fleet/voter/voter.go
@@ -36,7 +36,6 @@
 	heartbeatTicks = 2
 	pendingMost    = 4096            // asks that wait for the log, or for a majority's word
 	pendingFor     = 3 * time.Second // and for how long
-	changesKept    = 512             // changes of duties that a member may be behind without asking for all
 	reopenEvery    = time.Second     // between two tries of a log that failed
 	foundEvery     = 250 * time.Millisecond
 	caughtUp       = 64 // entries that a new voter may lack when it gets its vote
@@ -92,7 +91,6 @@
 	renewals  []renewal // wait to be asked for
 	reads     []read    // wait for a majority's word, or for the log to be applied
 	readSeq   uint64
-	changes   []change
 	heard     map[uint64]string // voters by their numbers, as they have spoken
 	following map[string]bool   // members that are told news
 	failed    error
@@ -120,11 +118,6 @@
 	list  []renewal
 }
 
-type change struct {
-	version uint64
-	duty    *pb.Duty
-}
-
 // New starts a voter on its log.
 func New(o Options, now int64) (*Voter, error) {
 	v := &Voter{o: o, now: now, tickAt: now, pending: map[uint64]pending{}, nextID: rand.Uint64(), following: map[string]bool{}, heard: map[uint64]string{}}
@@ -255,7 +248,7 @@
 func (v *Voter) quit() {
 	v.rn, v.term, v.leader = nil, 0, 0
 	v.pending, v.renewals, v.reads = map[uint64]pending{}, nil, nil
-	v.following, v.heard, v.changes = map[string]bool{}, map[uint64]string{}, nil
+	v.following, v.heard = map[string]bool{}, map[uint64]string{}
 }
 
 // fail steps down where the log cannot be written. The group goes on without this voter.
@@ -469,7 +462,7 @@
 	if err != nil {
 		return err
 	}
-	v.state, v.conf, v.applied, v.changes = state, snap.GetMetadata().GetConfState(), snap.GetMetadata().GetIndex(), nil
+	v.state, v.conf, v.applied = state, snap.GetMetadata().GetConfState(), snap.GetMetadata().GetIndex()
 	return nil
 }
 
@@ -519,6 +512,7 @@
 	if x := c.GetExpire(); x != nil && v.o.Break&BreakTerm != 0 {
 		term = x.Term
 	}
+	before := v.state.Version()
 	r := v.state.Apply(e.GetIndex(), term, c)
 	for _, id := range r.Ended {
 		v.granted.Over(id)
@@ -527,14 +521,14 @@
 		v.granted.Heard(r.Began, v.now)
 	}
 	version := v.state.Version()
-	for i, d := range r.Changed {
-		v.changes = append(v.changes, change{version - uint64(len(r.Changed)-1-i), d})
-	}
-	if over := len(v.changes) - changesKept; over > 0 {
-		v.changes = slices.Clone(v.changes[over:])
-	}
-	if len(r.Changed) > 0 && v.leads() {
-		news := &pb.News{From: version - uint64(len(r.Changed)), To: version, Duties: r.Changed}
+	if version != before && v.leads() {
+		news := &pb.News{From: before, To: version, Duties: r.Changed}
+		if r.Adopted != nil {
+			news.Adoptions = []*pb.Adoption{r.Adopted}
+		}
+		if r.Began != 0 || len(r.Ended) > 0 {
+			news.Present, news.AllPresent = v.state.Present(), true
+		}
 		for m := range v.following {
 			v.send(m, &pb.Frame{What: &pb.Frame_News{News: news}})
 		}
@@ -557,7 +551,9 @@
 	v.answer(p.to, a)
 }
 
-func (v *Voter) whole() *pb.News { return &pb.News{To: v.state.Version(), Duties: v.state.Duties()} }
+func (v *Voter) whole() *pb.News {
+	return &pb.News{To: v.state.Version(), Duties: v.state.Duties(), Adoptions: v.state.Adoptions(), Present: v.state.Present(), AllPresent: true}
+}
 
 // confirmed takes a majority's word that this voter led when the renewals of a read had come.
 func (v *Voter) confirmed(s raft.ReadState) {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -40,6 +40,9 @@
 	DoubtAt   int64 // when the first attempt that may have run was sent; 0 = none
 	DoubtZone int
 	Parent    string // the trace context that its client sent, as text; empty: none
+	Sure      bool   // its client was told that it is taken on, where copies are kept: else an heir never sends it
+	Origin    string // the duty of a lost owner that it is taken over from; empty once the fleet has agreed
+	Token     uint64 // with which that duty was held
 	Ending    int    // its notice is owed, and says so
 	RetryMS   int64
 
@@ -55,6 +58,8 @@
 	recOutcome = 'O' // an attempt ended
 	recEnding  = 'N' // the notice that is owed from here on
 	recEnd     = 'E' // the message is over
+	recSure    = 'C' // its client is told that it is taken on
+	recOrigin  = 'A' // it is being taken over from a lost owner; without a name: it has been
 	recParent  = 'P' // the trace context of a message; a version that does not know it passes it over
 )
 
@@ -75,15 +80,17 @@
 
 // Journal is an open journal.
 type Journal struct {
-	dir  string
-	name string            // of the file
-	room *statedir.Account // what all files may take
-	f    *os.File
-	size int64 // of the file
-	buf  []byte
-	live map[uint64]*Entry
-	used int64 // bytes that the live entries take in a fresh file
-	next uint64
+	dir    string
+	name   string            // of the file
+	room   *statedir.Account // what all files may take
+	f      *os.File
+	size   int64 // of the file
+	buf    []byte
+	live   map[uint64]*Entry
+	tap    []byte // the records since the last Tapped, where they are wanted
+	tapped bool
+	used   int64 // bytes that the live entries take in a fresh file
+	next   uint64
 }
 
 // Open replays the journal in dir and compacts it. It returns the live entries
@@ -233,13 +240,95 @@
 // Take adds a message.
 func (j *Journal) Take(e *Entry) {
 	j.live[e.Num] = e
-	j.append(e.taken)
+	at := len(j.buf)
+	j.buf = e.frames(j.buf)
+	j.copy(at)
+	j.used += e.size
+}
+
+// frames appends all that is known of a live entry, as records.
+func (e *Entry) frames(b []byte) []byte {
+	b = frame(b, e.taken)
 	if e.Parent != "" {
-		j.append(e.parent)
+		b = frame(b, e.parent)
 	}
-	j.used += e.size
+	if e.Origin != "" {
+		b = frame(b, e.origin)
+	}
+	if e.Sure {
+		b = frame(b, e.sure)
+	}
+	if e.openAt != 0 {
+		b = frame(b, func(b []byte) []byte {
+			b = binary.AppendUvarint(append(b, recStart), e.Num)
+			b = binary.AppendVarint(b, e.openAt)
+			return binary.AppendVarint(b, int64(e.openZone))
+		})
+	}
+	return b
+}
+
+func (e *Entry) sure(b []byte) []byte { return binary.AppendUvarint(append(b, recSure), e.Num) }
+
+func (e *Entry) origin(b []byte) []byte {
+	b = binary.AppendUvarint(append(b, recOrigin), e.Num)
+	return append(binary.AppendUvarint(b, e.Token), e.Origin...)
+}
+
+// Confirm notes that the client of a message is told that it is taken on.
+func (j *Journal) Confirm(e *Entry) {
+	e.Sure = true
+	j.append(e.sure)
+}
+
+// Adopted notes that the fleet has agreed that a message of a lost owner is this sender's.
+func (j *Journal) Adopted(e *Entry) {
+	e.Origin = ""
+	j.append(e.origin)
+}
+
+// Tap keeps the records of each step for Tapped, for copies of the journal.
+func (j *Journal) Tap() { j.tapped = true }
+
+// Tapped returns the records since the last call, as they went into the file, until the next change.
+func (j *Journal) Tapped() []byte {
+	b := j.tap
+	j.tap = nil
+	return b
 }
 
+// Snapshot is all that is live, as records.
+func (j *Journal) Snapshot() (b []byte) {
+	for _, e := range j.entries() {
+		b = e.frames(b)
+	}
+	return b
+}
+
+// Replay returns the live entries of records, and how many bytes were whole. An attempt without an outcome may have
+// run. It is for copies of a journal that is another's.
+func Replay(records []byte) []*Entry {
+	j := &Journal{live: map[uint64]*Entry{}, next: 1}
+	j.replay(records)
+	for _, e := range j.live {
+		e.settle(true)
+	}
+	return j.entries()
+}
+
+// Compact returns the records of what is live in records. An attempt that is out stays one.
+func Compact(records []byte) []byte {
+	j := &Journal{live: map[uint64]*Entry{}, next: 1}
+	j.replay(records)
+	return j.Snapshot()
+}
+
+// Skip makes all numbers up to one count as used.
+func (j *Journal) Skip(upto uint64) { j.next = max(j.next, upto+1) }
+
+// Last is the highest number that was given out.
+func (j *Journal) Last() uint64 { return j.next - 1 }
+
 // parent appends the trace context as a record.
 func (e *Entry) parent(b []byte) []byte {
 	at := len(b)
@@ -308,7 +397,17 @@
 }
 
 // append frames one record into the buffer.
-func (j *Journal) append(fill func([]byte) []byte) { j.buf = frame(j.buf, fill) }
+func (j *Journal) append(fill func([]byte) []byte) {
+	at := len(j.buf)
+	j.buf = frame(j.buf, fill)
+	j.copy(at)
+}
+
+func (j *Journal) copy(from int) {
+	if j.tapped {
+		j.tap = append(j.tap, j.buf[from:]...)
+	}
+}
 
 func frame(b []byte, fill func([]byte) []byte) []byte {
 	at := len(b)
@@ -348,18 +447,8 @@
 	var b []byte
 	j.used = 0
 	for _, e := range j.entries() {
-		b = frame(b, e.taken)
-		if e.Parent != "" {
-			b = frame(b, e.parent)
-		}
+		b = e.frames(b)
 		j.used += e.size
-		if e.openAt != 0 {
-			b = frame(b, func(b []byte) []byte {
-				b = binary.AppendUvarint(append(b, recStart), e.Num)
-				b = binary.AppendVarint(b, e.openAt)
-				return binary.AppendVarint(b, int64(e.openZone))
-			})
-		}
 	}
 	copyName := j.name + copyEnd
 	f, err := os.OpenFile(j.path(copyName), os.O_WRONLY|os.O_CREATE|os.O_TRUNC|os.O_APPEND, 0o600)
@@ -445,6 +534,11 @@
 		e.Ending, e.RetryMS = int(d.varint()), d.varint()
 	case recEnd:
 		delete(j.live, num)
+	case recSure:
+		e.Sure = true
+	case recOrigin:
+		e.Token = d.uvarint()
+		e.Origin = string(d.b)
 	case recParent:
 		e.Parent = string(d.b)
 	}
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -23,6 +23,7 @@
 	Members       []Member
 	Duties        Duties
 	Trials        Trials
+	Copies        Copies
 }
 
 // Member is one sender of the fleet, by its RELAY_NAME.
@@ -44,6 +45,16 @@
 	Bound   time.Duration // the others wait so long for its word
 }
 
+// Copies sets how what a sender has taken on is copied to further members.
+type Copies struct {
+	Enabled  bool
+	Count    int // members that keep copies
+	Needed   int // of these, that have a message before its client is told 202
+	Patience time.Duration
+	Take     bool // where too few can be reached: take messages on all the same, else refuse them
+	Room     int64
+}
+
 // Voters are the members that vote.
 func (f *Fleet) Voters() (list []Member) {
 	for _, m := range f.Members {
@@ -132,6 +143,27 @@
 				Name: "bound", Fallback: "4s", Values: strictxml.Between(500*time.Millisecond, time.Minute), Doc: "Without a word for so long, a member tries by itself, as without a fleet.",
 				Put: func(f *File, v int64) { f.Fleet.Trials.Bound = time.Duration(v) },
 			}},
+		}, {
+			Name: "copies", Doc: "What a sender has taken on is copied to further members, so that a machine lost with its disk loses nothing.",
+			Attrs: []attribute{{
+				Name: "enabled", Fallback: "false", Values: strictxml.OneOf("false", "true"), Doc: "Switches the part on.",
+				Put: func(f *File, v int64) { f.Fleet.Copies.Enabled = v == 1 },
+			}, {
+				Name: "count", Fallback: "2", Values: strictxml.Whole(1, 4), Doc: "Members that keep copies of a sender's journal.",
+				Put: func(f *File, v int64) { f.Fleet.Copies.Count = int(v) },
+			}, {
+				Name: "needed", Fallback: "1", Values: strictxml.Whole(1, 4), Doc: "Of these, how many must have a message before its client is told 202; count at most.",
+				Put: func(f *File, v int64) { f.Fleet.Copies.Needed = int(v) },
+			}, {
+				Name: "patience", Fallback: "150ms", Values: strictxml.Between(10*time.Millisecond, 300*time.Millisecond), Doc: "How long that may take; clients wait 400 ms.",
+				Put: func(f *File, v int64) { f.Fleet.Copies.Patience = time.Duration(v) },
+			}, {
+				Name: "when-short", Fallback: "refuse", Values: strictxml.OneOf("refuse", "take"), Doc: "Where too few can be reached: 503 with Retry-After, or 202 with what there is.",
+				Put: func(f *File, v int64) { f.Fleet.Copies.Take = v == 1 },
+			}, {
+				Name: "room", Fallback: "64MiB", Values: strictxml.Sized(64<<10, 1<<40), Doc: "What copies of others may take here, within limits.disk_mb.",
+				Put: func(f *File, v int64) { f.Fleet.Copies.Room = v },
+			}},
 		}},
 	}
 }
@@ -151,6 +183,10 @@
 		return fmt.Sprintf("fleet: %d members; allowed: 1000 at most", len(f.Members))
 	case f.Duties.Lease < 2*f.Duties.Election:
 		return fmt.Sprintf("fleet: duties: lease=%q is shorter than two election times of %v; allowed: %v or more, or each election would end every lease", f.Duties.Lease, f.Duties.Election, 2*f.Duties.Election)
+	case f.Copies.Enabled && f.Copies.Needed > f.Copies.Count:
+		return fmt.Sprintf("fleet: copies: needed=\"%d\" of count=\"%d\"; allowed: count at most", f.Copies.Needed, f.Copies.Count)
+	case f.Copies.Enabled && f.Copies.Count >= len(f.Members):
+		return fmt.Sprintf("fleet: copies: count=\"%d\" among %d members; allowed: fewer than there are others", f.Copies.Count, len(f.Members))
 	case (f.Cert == "") != (f.Key == "") || (f.Cert == "") != (f.CA == ""):
 		return "fleet: ca, cert and key go together"
 	case f.Trials.Enabled && !storms:
--- /dev/null
+++ b/internal/sender/copies.go
@@ -0,0 +1,528 @@
+package sender
+
+import (
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"sliptide/internal/fleet"
+	"sliptide/internal/fleet/copies"
+	"sliptide/internal/fleet/duty"
+	"sliptide/internal/fleet/pb"
+	"sliptide/internal/fleet/placement"
+	"sliptide/internal/journal"
+	"sliptide/internal/outbound"
+	"sliptide/internal/telemetry"
+	"sliptide/policy"
+)
+
+// This file copies the journal to further members and takes over those of lost ones, by internal/fleet/copies. A
+// step's records go out after it has written them; what the client hears, and each first byte that must not go
+// before, waits in line for the holders' word. The sender's goroutine waits for nobody: the word comes as news.
+
+// hushedPace holds all calls back without counting one: the lease on this sender's own journal is over.
+const hushedPace = 1e-3
+
+// CopySettings are how the journal is copied.
+type CopySettings struct {
+	Name     string
+	Zone     string
+	Count    int
+	Needed   int
+	Patience time.Duration
+	Take     bool // where too few holders can be reached: take messages on all the same
+}
+
+// CopyFleet is what copies need of the fleet. None of its calls waits.
+type CopyFleet interface {
+	Fleet
+	Look() *fleet.Look
+	SendCopy(to string, f *pb.Frame)
+	Ask(c *pb.Command, done func(error))
+	Incarnation() uint64 // of this member's folder; 0: it has not joined yet
+}
+
+// copier is a sender's part in the copies of journals.
+type copier struct {
+	set     CopySettings
+	fleet   CopyFleet
+	owner   *copies.Owner
+	heirs   map[string]*heirOf
+	pending map[uint64]*journal.Entry // being taken over: of no module yet
+	lines   []copyLine
+	told    []*taking // whose 202 goes out with this step, once its record has
+	live    bool // the lease on this sender's own journal holds
+	asked   []string
+	inc     uint64 // of the folder
+	wantAt  time.Time
+	short   uint64 // messages that were refused, or taken on without copies
+
+	mu    sync.Mutex
+	inbox []copyNews
+}
+
+type copyNews struct {
+	from  string
+	frame *pb.Frame
+	do    func() // or something to be done on the sender's goroutine
+}
+
+// heirOf is a taking over.
+type heirOf struct {
+	*copies.Heir
+	nums  []uint64 // of the entries in this journal
+	stuck bool     // the fleet is being asked
+}
+
+// copyLine waits for the holders' word on a batch.
+type copyLine struct {
+	seq    uint64
+	till   time.Time
+	orders []*taking
+	calls  []*outbound.Call
+	done   func(kept bool)
+}
+
+// Copy gives the sender its part in copies, before Run.
+func (s *Sender) Copy(f CopyFleet, set CopySettings) {
+	s.copies = &copier{set: set, fleet: f, heirs: map[string]*heirOf{}, pending: map[uint64]*journal.Entry{}, live: true}
+	s.copies.owner = copies.NewOwner(set.Name, 0)
+	s.journal.Tap()
+	for _, m := range s.msgs { // of an earlier life
+		if m.Sure = true; m.Origin != "" {
+			s.copies.pending[m.Num] = m.Entry
+			s.forget(m)
+		}
+	}
+	s.events = slices.DeleteFunc(s.events, func(e policy.Event) bool { return s.copies.pending[e.ID] != nil })
+}
+
+// CopyNews takes a frame of copies from a member. It does not wait.
+func (s *Sender) CopyNews(from string, f *pb.Frame) { s.copyNews(copyNews{from: from, frame: f}) }
+
+func (s *Sender) copyNews(n copyNews) {
+	c := s.copies
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	c.inbox = append(c.inbox, n)
+	c.mu.Unlock()
+	s.Kick()
+}
+
+// Kick makes a step come soon, for news that wait. It does not wait.
+func (s *Sender) Kick() {
+	select {
+	case s.in <- input{kick: true}:
+	default: // a step is due anyway
+	}
+}
+
+// copyStep takes what has come for copies, ahead of a step of the module.
+func (s *Sender) copyStep() {
+	c := s.copies
+	if c == nil {
+		return
+	}
+	now := fleet.Now()
+	c.mu.Lock()
+	inbox := c.inbox
+	c.inbox = nil
+	c.mu.Unlock()
+	for _, n := range inbox {
+		switch {
+		case n.do != nil:
+			n.do()
+		case n.frame.GetCopied() != nil:
+			c.owner.Copied(now, n.from, n.frame.GetCopied())
+		case n.frame.GetSealed() != nil:
+			if h := c.heirs[n.frame.GetSealed().Owner]; h != nil {
+				h.Sealed(n.from, n.frame.GetSealed())
+			}
+		}
+	}
+	look := c.fleet.Look()
+	s.ownJournal(look)
+	s.settlePending(look)
+	s.inherit(now, look)
+	s.copyLines()
+}
+
+// ownJournal begins the epoch of this sender's own journal, or notices that its lease is over.
+func (s *Sender) ownJournal(look *fleet.Look) {
+	c := s.copies
+	name := duty.Own(c.set.Name)
+	if time.Since(c.wantAt) > time.Second {
+		c.wantAt = time.Now()
+		c.fleet.Want(name, "")
+	}
+	d := look.Own[c.set.Name]
+	live := look.Mine(d) && c.fleet.Held(name) == d.Token
+	if live != c.live {
+		c.live = live
+		s.hush(!live)
+		s.log.Info().Bool("held", live).Msg("copies: the lease on this sender's journal")
+	}
+	if !live {
+		if !look.Mine(d) {
+			c.owner.Begin(0)
+		}
+		return
+	}
+	if c.owner.Epoch() != d.Token {
+		c.inc = c.fleet.Incarnation()
+		c.owner.Of(c.inc)
+		if a := look.Adopted[c.set.Name]; a != nil && a.Incarnation == c.inc {
+			s.handedOn(a)
+		}
+		c.owner.Begin(d.Token)
+		c.asked = nil
+	}
+	c.owner.Holders(d.Holders)
+	s.placeCopies(look, d)
+}
+
+// placeCopies asks the fleet for other holders where the members ask for them.
+func (s *Sender) placeCopies(look *fleet.Look, d *pb.Duty) {
+	c := s.copies
+	full := c.owner.Full()
+	var there []placement.Member
+	for _, p := range look.Present {
+		there = append(there, placement.Member{Name: p.Name, Zone: p.Zone, Full: slices.Contains(full, p.Name)})
+	}
+	wanted := placement.Choose(c.set.Name, c.set.Zone, c.set.Count, there)
+	next := placement.Next(d.Holders, wanted, c.owner.Synced, look.Is)
+	if slices.Equal(next, d.Holders) || slices.Equal(next, c.asked) {
+		return
+	}
+	c.asked = next
+	c.fleet.Ask(&pb.Command{What: &pb.Command_Keep{Keep: &pb.Keep{Session: look.Session, Duty: d.Name, Token: d.Token, Holders: next}}}, func(err error) {
+		s.copyNews(copyNews{do: func() { c.asked = nil }})
+	})
+}
+
+// handedOn drops what an heir has taken over while this sender was away, and exactly that.
+func (s *Sender) handedOn(a *pb.Adoption) {
+	n := 0
+	for _, m := range s.msgs {
+		if m.Num <= a.Upto && m.Origin == "" {
+			s.events = append(s.events, policy.Event{Kind: policy.EvWithdrawn, ID: m.Num})
+			s.drop(m.call)
+			s.watchOver(m.Entry, telemetry.Withdrawn, 0)
+			s.journal.End(m.Entry)
+			s.past.add(m.Trace, s.now)
+			s.forget(m)
+			n++
+		}
+	}
+	for num, e := range s.owed {
+		if num <= a.Upto {
+			delete(s.owed, num)
+			s.journal.End(e)
+			n++
+		}
+	}
+	s.journal.Skip(a.Upto)
+	s.log.Info().Int("messages", n).Str("heir", a.By).Msg("copies: messages were taken over while this sender was away")
+}
+
+// hush holds all calls back, or lets them go on.
+func (s *Sender) hush(on bool) {
+	pace := 0.0
+	if on {
+		pace = hushedPace
+	}
+	for dest := range s.dests {
+		s.events = append(s.events, policy.Event{Kind: policy.EvPace, Dest: dest, Pace: pace})
+	}
+	for id := range s.addrs {
+		if s.apart(id) {
+			s.events = append(s.events, policy.Event{Kind: policy.EvPace, Dest: s.addrs[id].Dest, Endpoint: id, Pace: pace})
+		}
+	}
+}
+
+// hushNew holds calls back at what a list has named while the lease is over.
+func (s *Sender) hushNew() {
+	if s.copies != nil && !s.copies.live {
+		s.hush(true)
+	}
+}
+
+// inherit takes over what lost owners had whose duty this member holds.
+func (s *Sender) inherit(now int64, look *fleet.Look) {
+	c := s.copies
+	for owner, d := range look.Own {
+		if owner == c.set.Name || !look.Mine(d) || c.fleet.Held(d.Name) != d.Token || !c.live {
+			continue
+		}
+		h := c.heirs[owner]
+		if h == nil || h.Epoch != d.Token {
+			h = &heirOf{Heir: copies.NewHeir(owner, d.Token, d.Holders, look.Adopted[owner])}
+			c.heirs[owner] = h
+			s.log.Info().Str("owner", owner).Strs("holders", d.Holders).Msg("copies: taking over from a lost sender")
+		}
+		for _, o := range h.Take(now) {
+			c.fleet.SendCopy(o.To, o.Frame)
+		}
+		switch h.Look(look.Is) {
+		case copies.Ready:
+			s.bring(h, d)
+		case copies.Done:
+			delete(c.heirs, owner)
+			c.fleet.Leave(d.Name, false)
+		}
+	}
+}
+
+// bring puts what was found into this sender's own journal; once that is copied, the fleet is asked to agree.
+func (s *Sender) bring(h *heirOf, d *pb.Duty) {
+	c := s.copies
+	h.Stage, h.nums = copies.Copying, nil
+	for _, e := range journal.Replay(h.Found.Records) {
+		if e.Origin != "" {
+			continue // it was being taken over itself: that was not agreed on, or it is the owner's
+		}
+		e.Num, e.Origin, e.Token = s.journal.Next(), d.Name, d.Token
+		s.journal.Take(e)
+		c.pending[e.Num] = e
+		h.nums = append(h.nums, e.Num)
+	}
+	s.again = true // they are written, and copied, by this very step
+	c.lines = append(c.lines, copyLine{till: time.Now().Add(time.Second), done: func(kept bool) {
+		if !kept {
+			s.discard(h)
+			return
+		}
+		h.Stage = copies.Adopting
+		adopt := &pb.Adopt{Session: d.Session, Duty: d.Name, Token: d.Token, Incarnation: h.Found.Incarnation, Upto: h.Found.Upto}
+		c.fleet.Ask(&pb.Command{What: &pb.Command_Adopt{Adopt: adopt}}, func(err error) {
+			s.copyNews(copyNews{do: func() { s.adopted(h, err) }})
+		})
+	}})
+}
+
+// discard gives up a try to take over; it begins again where the duty is still held.
+func (s *Sender) discard(h *heirOf) {
+	for _, num := range h.nums {
+		if e := s.copies.pending[num]; e != nil {
+			delete(s.copies.pending, num)
+			s.journal.End(e)
+		}
+	}
+	if s.copies.heirs[h.Owner] == h {
+		delete(s.copies.heirs, h.Owner)
+	}
+}
+
+// adopted takes what the fleet says of a taking over. Without a word, the look at what is agreed on tells.
+func (s *Sender) adopted(h *heirOf, err error) {
+	if err != nil {
+		s.log.Warn().Err(err).Str("owner", h.Owner).Msg("copies: the fleet has not agreed yet that these messages are taken over")
+		return // settlePending finds out
+	}
+	s.activate(h.Owner, h.Epoch)
+	h.Stage = copies.Done
+}
+
+// activate makes the entries of an agreed taking over this sender's messages.
+func (s *Sender) activate(owner string, token uint64) {
+	n, sure := 0, 0
+	for num, e := range s.copies.pending {
+		if e.Origin != duty.Own(owner) || e.Token != token {
+			continue
+		}
+		delete(s.copies.pending, num)
+		s.journal.Adopted(e)
+		n++
+		if !e.Sure && e.Ending == journal.NotEnding {
+			// Its client may have been refused: it is handed back, and never sent.
+			s.owe(e, journal.HandedBack, 0)
+			continue
+		}
+		sure++
+		s.restore(e)
+	}
+	s.again = true
+	s.log.Info().Str("owner", owner).Int("messages", n).Int("sure", sure).Msg("copies: took over")
+}
+
+// settlePending finds out what came of takings over whose end this sender has not heard of, of an earlier life too.
+func (s *Sender) settlePending(look *fleet.Look) {
+	c := s.copies
+	if len(c.pending) == 0 || look.Session == 0 {
+		return
+	}
+	type try struct {
+		owner string
+		token uint64
+	}
+	open := map[try]bool{}
+	for _, e := range c.pending {
+		open[try{e.Origin[len(duty.Own("")):], e.Token}] = true
+	}
+	for t := range open {
+		a, d, h := look.Adopted[t.owner], look.Own[t.owner], c.heirs[t.owner]
+		switch {
+		case a != nil && a.Token == t.token && a.By == c.set.Name:
+			s.activate(t.owner, t.token)
+			if h != nil && h.Epoch == t.token {
+				h.Stage = copies.Done
+			}
+		case a != nil && a.Token > t.token, look.Mine(d) && d.Token > t.token, d != nil && !look.Mine(d), d == nil:
+			// The duty is another's now, or nobody's: it was not agreed on, and never will be.
+			for num, e := range c.pending {
+				if e.Origin == duty.Own(t.owner) && e.Token == t.token {
+					delete(c.pending, num)
+					s.journal.End(e)
+				}
+			}
+			if h != nil && h.Epoch == t.token {
+				delete(c.heirs, t.owner)
+			}
+		}
+	}
+}
+
+// copyOut copies what a step has written. It returns the batch's number.
+func (s *Sender) copyOut() uint64 {
+	c := s.copies
+	now := fleet.Now()
+	seq := uint64(0)
+	if records := s.journal.Tapped(); len(records) > 0 {
+		seq = c.owner.Append(now, records, s.journal.Last())
+	}
+	for _, o := range c.owner.Take(now, s.journal.Snapshot) {
+		c.fleet.SendCopy(o.To, o.Frame)
+	}
+	for i := range c.lines {
+		if c.lines[i].seq == 0 {
+			c.lines[i].seq = max(seq, 1)
+		}
+	}
+	return seq
+}
+
+// copyWait puts a step's answers and calls in line for the holders' word. What need not wait is left.
+func (s *Sender) copyWait(seq uint64) {
+	c := s.copies
+	l := copyLine{seq: seq, till: time.Now().Add(c.set.Patience)}
+	s.orders = slices.DeleteFunc(s.orders, func(t *taking) bool {
+		if !t.refused {
+			l.orders = append(l.orders, t)
+		}
+		return !t.refused
+	})
+	s.sends = slices.DeleteFunc(s.sends, func(call *outbound.Call) bool {
+		if !s.mustWait(call) {
+			return false
+		}
+		s.calls[call] = true
+		l.calls = append(l.calls, call)
+		return true
+	})
+	if len(l.orders)+len(l.calls) > 0 {
+		c.lines = append(c.lines, l)
+	}
+}
+
+// mustWait reports whether a call's first byte waits for copies: of a message whose client has no answer yet, and of
+// one of a class that must never take effect twice.
+func (s *Sender) mustWait(call *outbound.Call) bool {
+	for i := range call.Items {
+		m := s.msgs[call.Items[i].ID]
+		if m == nil {
+			continue
+		}
+		class, _ := s.ClassOf([]byte(m.Class))
+		if !m.Sure || class >= 0 && s.set.Classes[class].Effect == policy.Unsafe {
+			return true
+		}
+	}
+	return false
+}
+
+// copyTell gives the answers whose records this step has written and sent.
+func (s *Sender) copyTell() {
+	for _, t := range s.copies.told {
+		t.verdict <- Verdict{Taken: true, Num: t.entry.Num}
+	}
+	s.copies.told = s.copies.told[:0]
+}
+
+// copyLines lets go on what the holders have, and gives up what they do not have in time.
+func (s *Sender) copyLines() {
+	c := s.copies
+	committed, now := c.owner.Committed(c.set.Needed), time.Now()
+	lines := c.lines
+	c.lines = nil
+	for _, l := range lines {
+		kept := l.seq != 0 && committed >= l.seq && c.live
+		if !kept && now.Before(l.till) {
+			c.lines = append(c.lines, l)
+			continue
+		}
+		s.lineEnds(&l, kept)
+	}
+}
+
+func (s *Sender) lineEnds(l *copyLine, kept bool) {
+	if l.done != nil {
+		l.done(kept)
+	}
+	go202 := kept || s.copies.set.Take
+	if !kept {
+		s.copies.short += uint64(len(l.orders))
+	}
+	for _, t := range l.orders {
+		m := s.msgs[t.entry.Num]
+		switch {
+		case m == nil: // over already
+			t.verdict <- Verdict{RetryAfter: lateLeast}
+		case go202:
+			s.journal.Confirm(m.Entry)
+			s.copies.told = append(s.copies.told, t)
+		default:
+			s.watchOver(t.entry, telemetry.NotTaken, 0)
+			s.watchRefused(t.entry.Dest, telemetry.CauseRoom)
+			s.events = append(s.events, policy.Event{Kind: policy.EvWithdrawn, ID: t.entry.Num})
+			s.again = true
+			s.drop(m.call)
+			s.journal.End(m.Entry)
+			s.forget(m)
+			t.verdict <- Verdict{RetryAfter: s.busyRetry()}
+		}
+	}
+	for _, call := range l.calls {
+		if go202 && s.calls[call] {
+			s.pool.Go(call)
+		} else {
+			s.drop(call)
+			s.again = true
+		}
+	}
+}
+
+// copyRefuses reports whether nothing can be taken on for want of the lease, or of anybody to copy to.
+func (s *Sender) copyRefuses() bool { return s.copies != nil && !s.copies.set.Take && !s.copies.live }
+
+// copyNext is when copies want a step by time alone.
+func (s *Sender) copyNext(wait time.Duration) time.Duration {
+	c := s.copies
+	if c == nil {
+		return wait
+	}
+	wait = min(wait, 50*time.Millisecond) // the lease, the holders and what is taken over are looked at
+	if at, due := c.owner.Next(); due {
+		wait = min(wait, time.Duration(at-fleet.Now()))
+	}
+	for i := range c.lines {
+		wait = min(wait, time.Until(c.lines[i].till))
+	}
+	return wait
+}
+
+// ErrNoCopies says why messages are refused, for /up and the log.
+var ErrNoCopies = errors.New("too few members can be reached to copy what is taken on")
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -157,6 +157,7 @@
 	memory memory
 	guard  *storm.Guard
 	fleet  Fleet   // nil: none
+	copies *copier // nil: the journal is not copied
 	trials *trials // nil: not shared
 	watch  watcher
 
@@ -259,6 +260,9 @@
 	class, _ := s.ClassOf([]byte(e.Class))
 	left := float64(e.Deadline) - s.now
 	switch {
+	case e.Origin != "" && s.copies != nil: // being taken over when the last life ended
+		s.copies.pending[e.Num] = e
+		return
 	case e.Ending != journal.NotEnding: // the module had decided; its notice may not have been taken
 		s.owed[e.Num] = e
 		s.notify(e)
@@ -370,6 +374,7 @@
 		s.events = append(s.events, policy.Event{Kind: policy.EvTimer, Token: s.token})
 		s.token = 0
 	}
+	s.copyStep()
 	s.cutShort()
 	s.weather()
 	s.actions = s.mod.Step(s.now, s.events, s.actions[:0])
@@ -381,6 +386,10 @@
 	if err != nil {
 		s.log.Error().Err(err).Msg("nothing is taken on or sent in this step")
 	}
+	if s.copies != nil && err == nil {
+		s.copyWait(s.copyOut())
+		s.copyTell()
+	}
 	s.answer(err == nil)
 	s.dispatch(err == nil)
 	s.watchStep()
@@ -432,5 +441,6 @@
 	if at, due := s.tellAt(); due {
 		wait = min(wait, millis(at-s.clock.Now()))
 	}
+	wait = s.copyNext(wait)
 	s.timer.Reset(max(wait, 0))
 }
--- a/internal/sender/trials.go
+++ b/internal/sender/trials.go
@@ -37,10 +37,7 @@
 	t.mu.Lock()
 	t.news[dest] = n
 	t.mu.Unlock()
-	select {
-	case s.in <- input{kick: true}:
-	default: // a step is due anyway
-	}
+	s.Kick()
 }
 
 // Join gives the sender the fleet, before Run.
