--- a/cmd/sliptide/fleet_test.go
+++ b/cmd/sliptide/fleet_test.go
@@ -60,6 +60,7 @@
 		r := makeRig(t, m.xml, func(settings, _ map[string]any) {
 			settings["balancers"] = 3
 			settings["limits"].(map[string]any)["max_attempts"] = 100 // a partner that is down must not use them up
+			settings["services"] = append(settings["services"].([]any), map[string]any{"name": "pay", "aim": 2000, "deadline": 20000, "effect": "unsafe", "worth": 2, "late_worth": 0.4})
 		})
 		r.config["name"] = fmt.Sprint("n", i)
 		r.list = append(r.list, r.partner("p-5", 5, m.partner))
--- /dev/null
+++ b/cmd/sliptide/losses_test.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// losses is a team under load whose machines are lost, with the ledgers of clients, partner and platform.
+type losses struct {
+	*team
+	rng *rand.Rand
+
+	mu      sync.Mutex
+	handed  map[string]time.Time // 202 was heard, by id, with when its time is up
+	effects map[string]int       // at the partner
+	refused map[string]bool
+}
+
+// serve is the partner: some calls fail, some break off, of which some took effect.
+func (l *losses) serve(w http.ResponseWriter, q *http.Request) {
+	io.Copy(io.Discard, q.Body)
+	id := q.Header.Get("X-Trace-Id")
+	l.mu.Lock()
+	chance := l.rng.IntN(100)
+	if chance >= 4 {
+		l.effects[id]++
+	}
+	l.mu.Unlock()
+	time.Sleep(20 * time.Millisecond)
+	switch {
+	case chance < 4:
+		w.WriteHeader(500)
+	case chance < 8:
+		nc, _, _ := w.(http.Hijacker).Hijack()
+		nc.Close()
+	}
+}
+
+// hand hands messages in at one sender until stop, of both classes in turn.
+func (l *losses) hand(i int, stop <-chan struct{}) {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(60 * time.Millisecond):
+		}
+		class, left := "note", 8.0
+		if n%2 == 1 {
+			class = "pay"
+		}
+		id := fmt.Sprintf("%s-%d-%d", class, i, n)
+		q, _ := http.NewRequest("POST", "http://"+l.rigs[i].addr+"/api", strings.NewReader("two guests, one night"))
+		for k, v := range map[string]string{"X-Trace-Id": id, "X-Qos": class, "X-Customer": "acme", "Idempotency-Key": "key-" + id,
+			"X-Expires-In": strconv.FormatFloat(left, 'f', 3, 64), "X-Route-To": "dest=5"} {
+			q.Header.Set(k, v)
+		}
+		resp, err := (&http.Client{Timeout: 400 * time.Millisecond}).Do(q)
+		if err != nil {
+			continue // not heard: nothing was promised
+		}
+		resp.Body.Close()
+		l.mu.Lock()
+		if resp.StatusCode == 202 {
+			l.handed[id] = time.Now().Add(time.Duration(left * float64(time.Second)))
+		} else {
+			l.refused[id] = true
+		}
+		l.mu.Unlock()
+	}
+}
+
+// ledger holds the ledgers side by side, of what is to be over by now.
+func (l *losses) ledger() (taken, lost, twice, repeated, sent int) {
+	ends := map[string]int{}
+	l.team.mu.Lock()
+	for _, e := range l.ends {
+		ends[e.Message]++
+	}
+	l.team.mu.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id := range l.handed {
+		taken++
+		if l.effects[id] == 0 && ends[id] == 0 {
+			lost++
+			l.t.Logf("lost: %s", id)
+		}
+		if strings.HasPrefix(id, "pay") && l.effects[id] > 1 {
+			twice++
+			l.t.Logf("took effect %d times: %s", l.effects[id], id)
+		}
+		if l.effects[id] > 1 {
+			repeated++
+		}
+	}
+	for id := range l.refused {
+		if l.effects[id] > 0 {
+			sent++
+			l.t.Logf("refused and sent: %s", id)
+		}
+	}
+	return taken, lost, twice, repeated, sent
+}
+
+// TestLosses loses machines with their disks, one after the other, under load. SLIPTIDE_LOSSES sets how many; CI
+// plays three.
+func TestLosses(t *testing.T) {
+	n, err := strconv.Atoi(os.Getenv("SLIPTIDE_LOSSES"))
+	if err != nil {
+		n = 3
+	}
+	each := 50
+	for first := 0; first < n; first += each {
+		t.Run(fmt.Sprint("from ", first), func(t *testing.T) { lose(t, min(each, n-first), uint64(first)) })
+	}
+}
+
+func lose(t *testing.T, n int, seed uint64) {
+	l := &losses{rng: rand.New(rand.NewPCG(seed, 24)), handed: map[string]time.Time{}, effects: map[string]int{}, refused: map[string]bool{}}
+	l.team = newTeamWith(t, copiesXML, 5)
+	for _, r := range l.rigs {
+		r.change(func() {
+			p := r.partner("p-loss", 5, l.serve)
+			for i := range r.list {
+				if r.list[i].ID == "p-5" {
+					r.list[i] = p
+				}
+			}
+		})
+	}
+	stop := make(chan struct{})
+	l.drain(stop)
+	l.copying()
+	var clients sync.WaitGroup
+	for i := range l.rigs {
+		clients.Go(func() { l.hand(i, stop) })
+	}
+	for i := range n {
+		k := l.rng.IntN(len(l.rigs))
+		r := l.rigs[k]
+		time.Sleep(time.Duration(200+l.rng.IntN(600)) * time.Millisecond) // load runs: nothing is waited for
+		r.kill(syscall.SIGKILL)
+		if err := os.RemoveAll(r.state); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Mkdir(r.state, 0o700); err != nil {
+			t.Fatal(err)
+		}
+		r.logs.Reset()
+		r.launch()
+		if k < 3 { // before a further voter is lost, this one has its vote again
+			r.awaitLog(fmt.Sprintf("voters changed: n%d", k))
+		}
+		r.awaitLog(`"held":true`)
+		if i%10 == 9 {
+			t.Logf("%d losses: %d messages under way", i+1, l.open())
+		}
+	}
+	close(stop)
+	clients.Wait()
+	ended := time.Now()
+	more := make(chan struct{})
+	defer close(more)
+	l.drain(more)
+	l.await("every message has its final answer, or its time is long over", func() bool {
+		return l.open() == 0 || time.Since(ended) > 10*time.Second
+	})
+	taken, lost, twice, repeated, sent := l.ledger()
+	t.Logf("%d losses of a machine with its disk: %d taken on, %d lost, %d of a class that forbids it took effect twice, %d others repeated, %d refused and sent", n, taken, lost, twice, repeated, sent)
+	if lost+twice+sent > 0 || taken == 0 {
+		t.Error("the promise is broken")
+	}
+}
+
+// open counts the messages without a final answer so far.
+func (l *losses) open() (n int) {
+	ends := map[string]bool{}
+	l.team.mu.Lock()
+	for _, e := range l.ends {
+		ends[e.Message] = true
+	}
+	l.team.mu.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id := range l.handed {
+		if l.effects[id] == 0 && !ends[id] {
+			n++
+		}
+	}
+	return n
+}
--- a/cmd/sliptide/rig_test.go
+++ b/cmd/sliptide/rig_test.go
@@ -132,6 +132,13 @@
 	return l.b.Write(p)
 }
 
+// Reset forgets what was logged.
+func (l *logBuffer) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.b.Reset()
+}
+
 func (l *logBuffer) String() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
