sliptide fleet copies, gauges of copies, and a measurement of their price

Change: the command lists owners, who answers for each, epoch and holders; gauges sliptide.copies.lease, .lag, .waiting, .short; make copies-price.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint fuzz crash h2-chaos storms telemetry duties duties-faults duties-gaps copies-faults fleet measure bench generate run toy clean
+.PHONY: build test lint fuzz crash h2-chaos storms telemetry duties duties-faults duties-gaps copies-faults copies-price fleet measure bench generate run toy clean
 
 build: ## the program and the simulator's adapter, into bin/
 	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
@@ -44,6 +44,9 @@
 copies-faults: ## 1,000 losses of a machine with its disk, five programs under load, five teams side by side (about half an hour)
 	SLIPTIDE_LOSSES=1000 SLIPTIDE_MEASURE=1 go test ./cmd/sliptide -run TestLosses -parallel 5 -count=1 -timeout 120m -v | grep -E '_test|ok|FAIL'
 
+copies-price: ## what copies cost: the 202, the delivery and the processor, off and on (about two minutes)
+	SLIPTIDE_MEASURE=1 go test ./cmd/sliptide -run TestMeasureCopies -parallel 1 -count=1 -timeout 30m -v | grep -E '_test|PASS|FAIL'
+
 measure: ## the tables of docs/: restarts and cost, with knowledge off and on (about two minutes)
 	SLIPTIDE_MEASURE=1 go test ./cmd/sliptide -count=1 -timeout 30m -v -run "TestMeasure[CHR]" | grep -E '(measure|h2)_test' 
 
--- a/cmd/sliptide/copies_test.go
+++ b/cmd/sliptide/copies_test.go
@@ -60,6 +60,9 @@
 	defer close(stop)
 	m.drain(stop)
 	m.copying()
+	if out, errs, code := command(t, "fleet", "copies", "--operator", m.rigs[0].operator); code != 0 || strings.Count(out, "copied") != 4 {
+		t.Errorf("fleet copies: status %d\n%s%s", code, out, errs)
+	}
 	m.set(true)
 	var ids []string
 	for i := range 12 {
--- a/cmd/sliptide/losses_test.go
+++ b/cmd/sliptide/losses_test.go
@@ -198,3 +198,88 @@
 	}
 	return n
 }
+
+// TestMeasureCopies tells what copies cost: the time of the 202 and of the delivery at three loads on one sender, with
+// copies off and on, one after the other in one run.
+func TestMeasureCopies(t *testing.T) {
+	if os.Getenv("SLIPTIDE_MEASURE") == "" {
+		t.Skip("a measurement: make copies-price")
+	}
+	for _, rate := range []float64{150, 350, 500} {
+		for _, c := range []struct{ name, xml string }{
+			{"off", ``},
+			{"count 1 needed 1", `<copies enabled="true" count="1" needed="1" room="16MiB"/>`},
+			{"count 2 needed 1", `<copies enabled="true" count="2" needed="1" room="16MiB"/>`},
+			{"count 2 needed 2", `<copies enabled="true" count="2" needed="2" room="16MiB"/>`},
+		} {
+			t.Run(fmt.Sprintf("%s at %.0f a second", c.name, rate), func(t *testing.T) { price(t, c.xml, rate) })
+		}
+	}
+}
+
+func price(t *testing.T, xml string, rate float64) {
+	m := newTeamWith(t, xml, 3)
+	var mu sync.Mutex
+	sent := map[string]time.Time{}
+	var heard, delivered []float64
+	r := m.rigs[0]
+	p := r.partner("p-price", 5, func(w http.ResponseWriter, q *http.Request) {
+		io.Copy(io.Discard, q.Body)
+		mu.Lock()
+		if at, ok := sent[q.Header.Get("X-Trace-Id")]; ok {
+			delivered = append(delivered, float64(time.Since(at))/1e6)
+			delete(sent, q.Header.Get("X-Trace-Id"))
+		}
+		mu.Unlock()
+	})
+	r.change(func() {
+		for i := range r.list {
+			if r.list[i].ID == "p-5" {
+				r.list[i] = p
+			}
+		}
+	})
+	stop := make(chan struct{})
+	defer close(stop)
+	m.drain(stop)
+	m.copying()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 128}, Timeout: time.Second}
+	cpu := cpuOf(r.proc.Process.Pid)
+	refused := 0
+	var wg sync.WaitGroup
+	const span = 6 * time.Second
+	began := time.Now()
+	for n := 0; time.Since(began) < span; n++ {
+		time.Sleep(time.Until(began.Add(time.Duration(float64(n) / rate * float64(time.Second)))))
+		id := fmt.Sprintf("note-%d", n)
+		wg.Go(func() {
+			q, _ := http.NewRequest("POST", "http://"+r.addr+"/api", strings.NewReader("two guests, one night"))
+			for k, v := range map[string]string{"X-Trace-Id": id, "X-Qos": "note", "X-Customer": "acme", "Idempotency-Key": "key-" + id, "X-Expires-In": "8", "X-Route-To": "dest=5"} {
+				q.Header.Set(k, v)
+			}
+			at := time.Now()
+			mu.Lock()
+			sent[id] = at
+			mu.Unlock()
+			resp, err := client.Do(q)
+			if err != nil {
+				return
+			}
+			resp.Body.Close()
+			mu.Lock()
+			defer mu.Unlock()
+			if resp.StatusCode != 202 {
+				refused++
+				return
+			}
+			heard = append(heard, float64(time.Since(at))/1e6)
+		})
+	}
+	wg.Wait()
+	time.Sleep(300 * time.Millisecond) // the last calls end
+	used := cpuOf(r.proc.Process.Pid) - cpu
+	mu.Lock()
+	defer mu.Unlock()
+	t.Logf("202: p50 %.1f ms, p99 %.1f ms; delivery: p50 %.1f ms, p99 %.1f ms; %d taken on, %d refused, %.2f ms of a core a message",
+		quantile(heard, 0.5), quantile(heard, 0.99), quantile(delivered, 0.5), quantile(delivered, 0.99), len(heard), refused, used*1000/float64(max(len(heard), 1)))
+}
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -6,9 +6,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 	"text/tabwriter"
 	"time"
 
+	"sliptide/internal/fleet/duty"
 	"sliptide/internal/fleet/link"
 	"sliptide/internal/fleet/pb"
 	"sliptide/internal/fleet/voter"
@@ -21,6 +23,7 @@
 type fleetCmd struct {
 	Status   fleetStatus   `cmd:"" help:"Who leads, who is there, who holds how much."`
 	Duties   fleetDuties   `cmd:"" help:"Each duty, its holder and its token."`
+	Copies   fleetCopies   `cmd:"" help:"Who keeps copies of each sender's journal, and who takes one over."`
 	HandOver fleetHandOver `cmd:"" help:"Ask the holder of a duty to hand it to a member."`
 	Remove   fleetRemove   `cmd:"" help:"End a member for good: what it holds goes on to others once its lease is over."`
 }
@@ -167,6 +170,54 @@
 	return w.Flush()
 }
 
+type fleetCopies struct {
+	fleetAsk
+	JSON bool `help:"As JSON."`
+}
+
+// copyView is one sender's journal.
+type copyView struct {
+	Owner  string   `json:"owner"`
+	With   string   `json:"with"` // whoever answers for it now: the owner, its heir, or nobody
+	Epoch  uint64   `json:"epoch"`
+	Copies []string `json:"copies"`
+	State  string   `json:"state"`
+}
+
+// Run runs the command.
+func (c *fleetCopies) Run(env *Env) error {
+	s, err := c.status()
+	if err != nil {
+		return err
+	}
+	list := []copyView{}
+	for _, d := range s.Duties {
+		owner, own := strings.CutPrefix(d.Name, duty.Own(""))
+		if !own {
+			continue
+		}
+		v := copyView{Owner: owner, With: d.Holder, Epoch: d.Token, Copies: d.Copies, State: "copied"}
+		switch {
+		case d.Holder == "":
+			v.State = "nobody answers for it"
+		case d.Holder != owner:
+			v.State = "being taken over"
+		case len(d.Copies) == 0:
+			v.State = "no copies"
+		}
+		list = append(list, v)
+	}
+	if c.JSON {
+		return putJSON(env, list)
+	}
+	w := tabwriter.NewWriter(env.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "OWNER\tWITH\tEPOCH\tCOPIES AT\tSTATE")
+	for _, v := range list {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\n", v.Owner, v.With, v.Epoch, strings.Join(v.Copies, ", "), v.State)
+	}
+	return w.Flush()
+}
+
 type fleetHandOver struct {
 	fleetAsk
 	Duty string `arg:"" help:"The duty, as fleet duties names it."`
--- a/internal/fleet/copies/copies.go
+++ b/internal/fleet/copies/copies.go
@@ -177,12 +177,12 @@
 	return names
 }
 
-// Lag is how many batches a holder is behind, and false if it lacks everything.
-func (o *Owner) Lag(name string) (batches uint64, synced bool) {
-	if p := o.peers[name]; p != nil && p.reset != 0 {
-		return o.seq - p.acked, true
+// Furthest is how many batches the holder is behind that is furthest behind.
+func (o *Owner) Furthest() (batches uint64) {
+	for _, p := range o.peers {
+		batches = max(batches, o.seq-min(p.acked, o.seq))
 	}
-	return o.seq, false
+	return batches
 }
 
 // Take returns what is to be sent. snapshot is all that is live in the journal, as records; it is asked for where a
--- a/internal/fleet/voter/voter.go
+++ b/internal/fleet/voter/voter.go
@@ -624,6 +624,8 @@
 	Token  uint64 `json:"token"`
 	Wanted string `json:"wanted,omitempty"`
 	Word   string `json:"word,omitempty"`
+	// Copies are the members that may keep copies of its holder's journal, for the duty of one.
+	Copies []string `json:"copies,omitempty"`
 }
 
 // Status is what a voter tells operators.
@@ -654,7 +656,7 @@
 	held := map[uint64]int{}
 	for _, d := range v.state.Duties() {
 		held[d.Session]++
-		s.Duties = append(s.Duties, DutyStatus{d.Name, d.Holder, d.Token, d.Wanted, d.Word})
+		s.Duties = append(s.Duties, DutyStatus{d.Name, d.Holder, d.Token, d.Wanted, d.Word, d.Holders})
 	}
 	for _, id := range v.state.Sessions() {
 		m := v.state.Session(id)
--- a/internal/sender/copies.go
+++ b/internal/sender/copies.go
@@ -52,7 +52,7 @@
 	pending map[uint64]*journal.Entry // being taken over: of no module yet
 	lines   []copyLine
 	told    []*taking // whose 202 goes out with this step, once its record has
-	live    bool // the lease on this sender's own journal holds
+	live    bool      // the lease on this sender's own journal holds
 	asked   []string
 	inc     uint64 // of the folder
 	wantAt  time.Time
--- a/internal/sender/watch.go
+++ b/internal/sender/watch.go
@@ -179,6 +179,16 @@
 		gauge(telemetry.FleetLive, live)
 		gauge(telemetry.FleetDuties, float64(s.fleet.Duties()))
 	}
+	if c := s.copies; c != nil {
+		held := 0.0
+		if c.live {
+			held = 1
+		}
+		gauge(telemetry.CopiesHeld, held)
+		gauge(telemetry.CopiesLag, float64(c.owner.Furthest()))
+		gauge(telemetry.CopiesWaiting, float64(len(c.lines)))
+		gauge(telemetry.CopiesShort, float64(c.short))
+	}
 }
 
 // watchWait is when watchStep wants to be called again while messages are held: a reason changes with time alone.
--- a/internal/telemetry/assemble.go
+++ b/internal/telemetry/assemble.go
@@ -322,6 +322,10 @@
 	StormOverbooked
 	FleetLive
 	FleetDuties
+	CopiesHeld
+	CopiesLag
+	CopiesWaiting
+	CopiesShort
 	names
 )
 
@@ -338,6 +342,10 @@
 	StormOverbooked: {Name: "sliptide.storm.overbooked", Unit: "{message}", Doc: "refusals for which no second was free"},
 	FleetLive:       {Name: "sliptide.fleet.live", Unit: "1", Doc: "1 while this member's session in the fleet holds", Kind: metric.Gauge},
 	FleetDuties:     {Name: "sliptide.fleet.duties", Unit: "{duty}", Doc: "duties that this member holds", Kind: metric.Gauge},
+	CopiesHeld:      {Name: "sliptide.copies.lease", Unit: "1", Doc: "1 while the lease on this sender's journal holds", Kind: metric.Gauge},
+	CopiesLag:       {Name: "sliptide.copies.lag", Unit: "{batch}", Doc: "how far the holder of copies that is furthest behind is", Kind: metric.Gauge},
+	CopiesWaiting:   {Name: "sliptide.copies.waiting", Unit: "{batch}", Doc: "batches that answers or calls wait for", Kind: metric.Gauge},
+	CopiesShort:     {Name: "sliptide.copies.short", Unit: "{message}", Doc: "messages that too few holders had in time"},
 }
 
 func (n Name) def() *metric.Def {
