--- /dev/null
+++ b/internal/journal/copies_test.go
@@ -0,0 +1,97 @@
+package journal
+
+import (
+	"testing"
+
+	"sliptide/internal/statedir"
+)
+
+// TestCopiesOfRecords: what is tapped step by step comes to what a snapshot has, and to what the file has at the next
+// start: who was told, what is being taken over, attempts that may have run, ends.
+func TestCopiesOfRecords(t *testing.T) {
+	dir := t.TempDir()
+	j, _, err := Open(dir, statedir.NewSpace(1<<20).Account())
+	if err != nil {
+		t.Fatal(err)
+	}
+	j.Tap()
+	var copied []byte
+	step := func() {
+		if err := j.Flush(); err != nil {
+			t.Fatal(err)
+		}
+		copied = append(copied, j.Tapped()...)
+	}
+	var list []*Entry
+	for range 4 {
+		e := &Entry{Num: j.Next(), Trace: "t", Class: "note", Deadline: 7, Body: []byte("b"), Parent: "p"}
+		j.Take(e)
+		list = append(list, e)
+	}
+	step()
+	j.Confirm(list[0])
+	j.Start(list[0], 5, 1)
+	j.Confirm(list[1])
+	taken := &Entry{Num: j.Next(), Trace: "o", Class: "note", Origin: "own/x", Token: 9, Sure: true}
+	j.Take(taken)
+	step()
+	j.End(list[2])
+	j.Adopted(taken)
+	j.Owe(list[3], GivenUp, 0)
+	step()
+	check := func(what string, got []*Entry) {
+		t.Helper()
+		if len(got) != 4 {
+			t.Fatalf("%s: %d entries", what, len(got))
+		}
+		a, b, c, d := got[0], got[1], got[2], got[3]
+		if !a.Sure || a.Attempts != 1 || a.DoubtAt != 5 || a.DoubtZone != 1 || a.Parent != "p" {
+			t.Errorf("%s: an attempt that was begun: %+v", what, a)
+		}
+		if !b.Sure || b.Attempts != 0 || b.DoubtAt != 0 {
+			t.Errorf("%s: told, and not sent: %+v", what, b)
+		}
+		if c.Sure || c.Ending != GivenUp {
+			t.Errorf("%s: an end that is owed: %+v", what, c)
+		}
+		if d.Origin != "" || !d.Sure {
+			t.Errorf("%s: taken over: %+v", what, d)
+		}
+	}
+	check("copies", Replay(copied))
+	check("copies, compacted", Replay(Compact(copied)))
+	check("a snapshot", Replay(j.Snapshot()))
+	if err := j.Close(); err != nil {
+		t.Fatal(err)
+	}
+	again, entries, err := Open(dir, statedir.NewSpace(1<<20).Account())
+	if err != nil {
+		t.Fatal(err)
+	}
+	check("the next start", entries)
+	again.Skip(100)
+	if n := again.Next(); n != 101 {
+		t.Errorf("the next number is %d", n)
+	}
+	again.Close()
+}
+
+// TestPendingOutlastsAStart: what is being taken over is still marked so at the next start.
+func TestPendingOutlastsAStart(t *testing.T) {
+	dir := t.TempDir()
+	j, _, err := Open(dir, statedir.NewSpace(1<<20).Account())
+	if err != nil {
+		t.Fatal(err)
+	}
+	j.Take(&Entry{Num: j.Next(), Trace: "o", Class: "note", Origin: "own/x", Token: 9})
+	if err := j.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 { // the first start writes the file anew
+		j, entries, err := Open(dir, statedir.NewSpace(1<<20).Account())
+		if err != nil || len(entries) != 1 || entries[0].Origin != "own/x" || entries[0].Token != 9 {
+			t.Fatalf("%v, %+v", err, entries)
+		}
+		j.Close()
+	}
+}
--- a/internal/sender/copies.go
+++ b/internal/sender/copies.go
@@ -24,6 +24,9 @@
 // hushedPace holds all calls back without counting one: the lease on this sender's own journal is over.
 const hushedPace = 1e-3
 
+// newsMost bounds the holders' words that wait for a step.
+const newsMost = 4096
+
 // CopySettings are how the journal is copied.
 type CopySettings struct {
 	Name     string
@@ -107,7 +110,9 @@
 		return
 	}
 	c.mu.Lock()
-	c.inbox = append(c.inbox, n)
+	if n.do != nil || len(c.inbox) < newsMost { // a holder's word that is lost comes again with its next one
+		c.inbox = append(c.inbox, n)
+	}
 	c.mu.Unlock()
 	s.Kick()
 }
