Too few copies are refused by 503 with the reason, in the answer and in /up

TestNoQuorum stops a majority of voters: new work is refused, nothing of it is sent, and all goes on afterwards. Measured: tests.

--- a/cmd/sliptide/copies_test.go
+++ b/cmd/sliptide/copies_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
 	"os"
 	"strings"
 	"syscall"
@@ -135,6 +137,7 @@
 		return false
 	})
 	m.rigs[3].proc.Process.Signal(syscall.SIGCONT)
+	m.rigs[3].awaitUp(200) // it may have said 503 meanwhile, and why
 	m.rigs[3].awaitLog("messages were taken over while this sender was away")
 	m.set(false)
 	m.await("all have their final answer", func() bool {
@@ -161,3 +164,37 @@
 		}
 	}
 }
+
+// TestNoQuorum: without a majority of voters new work is refused plainly, with when to come back and why, what was taken
+// on is kept, and all goes on when they are back.
+func TestNoQuorum(t *testing.T) {
+	m := newTeamWith(t, copiesXML, 4)
+	stop := make(chan struct{})
+	defer close(stop)
+	m.drain(stop)
+	m.copying()
+	for _, r := range m.rigs[:2] {
+		r.proc.Process.Signal(syscall.SIGSTOP)
+	}
+	r := m.rigs[3]
+	m.await("new work is refused, with the reason in /up", func() bool {
+		resp, err := http.Get("http://" + r.addr + "/up")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(resp.Body)
+		return resp.StatusCode == 503 && strings.Contains(string(text), "too few members")
+	})
+	resp := r.handIn("n3-refused", 5, 10, "x")
+	if resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("new work without a quorum: %s, Retry-After %q", resp.Status, resp.Header.Get("Retry-After"))
+	}
+	for _, r := range m.rigs[:2] {
+		r.proc.Process.Signal(syscall.SIGCONT)
+	}
+	m.copying()
+	if m.taken()["n3-refused"] > 0 {
+		t.Error("what was refused was sent")
+	}
+}
--- a/cmd/sliptide/fleet_test.go
+++ b/cmd/sliptide/fleet_test.go
@@ -68,7 +68,10 @@
 		m.rigs = append(m.rigs, r)
 	}
 	for _, r := range m.rigs {
-		r.start()
+		r.launch()
+	}
+	for _, r := range m.rigs {
+		r.awaitUp(200)
 	}
 	return m
 }
--- a/internal/intake/api.go
+++ b/internal/intake/api.go
@@ -28,6 +28,9 @@
 		if !s.Up() {
 			return response{status: 503}
 		}
+		if why := s.snd.Refuses(); why != "" {
+			return response{status: 503, text: why}
+		}
 		return response{status: 200}
 	case "/api":
 		if string(m.Method) != "POST" {
@@ -56,6 +59,9 @@
 	case v.NoRoute: // the list may be late: to come again does no harm
 		return response{status: 503, retry: v.RetryAfter, text: "no such destination is listed"}
 	}
+	if v.Short {
+		return response{status: 503, retry: v.RetryAfter, text: sender.Short}
+	}
 	return response{status: refuseBusy, retry: v.RetryAfter}
 }
 
--- a/internal/sender/copies.go
+++ b/internal/sender/copies.go
@@ -1,7 +1,6 @@
 package sender
 
 import (
-	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -168,6 +167,11 @@
 	if live != c.live {
 		c.live = live
 		s.hush(!live)
+		if why := Short; s.copyRefuses() {
+			s.refuses.Store(&why)
+		} else {
+			s.refuses.Store(nil)
+		}
 		s.log.Info().Bool("held", live).Msg("copies: the lease on this sender's journal")
 	}
 	if !live {
@@ -497,7 +501,7 @@
 			s.drop(m.call)
 			s.journal.End(m.Entry)
 			s.forget(m)
-			t.verdict <- Verdict{RetryAfter: s.busyRetry()}
+			t.verdict <- Verdict{RetryAfter: s.busyRetry(), Short: true}
 		}
 	}
 	for _, call := range l.calls {
@@ -529,5 +533,13 @@
 	return wait
 }
 
-// ErrNoCopies says why messages are refused, for /up and the log.
-var ErrNoCopies = errors.New("too few members can be reached to copy what is taken on")
+// Short says why messages are refused, for their clients, /up and the log.
+const Short = "too few members can be reached to copy what is taken on"
+
+// Refuses is why this sender takes nothing on, for /up; empty: it does. It is safe for concurrent use.
+func (s *Sender) Refuses() string {
+	if why := s.refuses.Load(); why != nil {
+		return *why
+	}
+	return ""
+}
--- a/internal/sender/orders.go
+++ b/internal/sender/orders.go
@@ -47,7 +47,7 @@
 	case !s.stopAt.IsZero(), left <= 0, s.copyRefuses(), s.set.MaxHeld > 0 && len(s.msgs) >= s.set.MaxHeld, !s.journal.Room(len(m.Body)):
 		s.guard.Arrived(s.now, m.Dest, keyHash(m.Key), m.Again)
 		s.watchRefused(m.Dest, s.whyNot())
-		o.verdict <- Verdict{RetryAfter: s.comeBack(m.Dest, m.Key, max(left, 0), s.busyRetry())}
+		o.verdict <- Verdict{RetryAfter: s.comeBack(m.Dest, m.Key, max(left, 0), s.busyRetry()), Short: s.copyRefuses()}
 		return
 	}
 	s.guard.Arrived(s.now, m.Dest, keyHash(m.Key), m.Again)
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -57,6 +57,7 @@
 	Num        uint64 // the sender's number, if taken
 	Known      bool   // not taken: another with this id was
 	NoRoute    bool   // not taken: its destination has never been listed
+	Short      bool   // not taken: too few members can be reached to copy it
 	RetryAfter float64
 }
 
@@ -152,14 +153,15 @@
 	in      chan input
 	done    chan struct{}
 
-	clock  Clock
-	now    float64
-	memory memory
-	guard  *storm.Guard
-	fleet  Fleet   // nil: none
-	copies *copier // nil: the journal is not copied
-	trials *trials // nil: not shared
-	watch  watcher
+	clock   Clock
+	now     float64
+	memory  memory
+	guard   *storm.Guard
+	fleet   Fleet                  // nil: none
+	copies  *copier                // nil: the journal is not copied
+	refuses atomic.Pointer[string] // why nothing is taken on, as Refuses tells; nil: it is
+	trials  *trials                // nil: not shared
+	watch   watcher
 
 	msgs    map[uint64]*message // taken on and not over, and not waiting for a notice
 	traces  map[string]uint64
