--- a/cmd/sliptide/fleet.go
+++ b/cmd/sliptide/fleet.go
@@ -128,28 +128,21 @@
 func (m *membership) stays() bool { return m != nil && m.keep.Enabled }
 
 // abandon ends this process's part without a word, for the next process of the same folder to go on in its place.
-func (m *membership) abandon() {
+func (m *membership) abandon() { m.last().Abandon() }
+
+// last is the member, nil if there is none; no further one is made.
+func (m *membership) last() *fleet.Member {
 	if m == nil {
-		return
+		return nil
 	}
 	m.mu.Lock()
-	member := m.member
+	defer m.mu.Unlock()
 	m.left = true
-	m.mu.Unlock()
-	member.Abandon()
+	return m.member
 }
 
 // leave gives up what is held and leaves the fleet; a later join does nothing.
-func (m *membership) leave() {
-	if m == nil {
-		return
-	}
-	m.mu.Lock()
-	member := m.member
-	m.left = true
-	m.mu.Unlock()
-	member.Close()
-}
+func (m *membership) leave() { m.last().Close() }
 
 func (m *membership) get() *fleet.Member {
 	m.mu.Lock()
--- a/cmd/sliptide/losses_test.go
+++ b/cmd/sliptide/losses_test.go
@@ -176,6 +176,11 @@
 	})
 	taken, lost, twice, repeated, sent := l.ledger()
 	t.Logf("%d losses of a machine with its disk: %d taken on, %d lost, %d of a class that forbids it took effect twice, %d others repeated, %d refused and sent", n, taken, lost, twice, repeated, sent)
+	for _, r := range l.rigs {
+		if strings.Contains(r.logs.String(), "differs from its owner's journal") {
+			t.Errorf("a copy was found to differ:\n%s", r.logs.String())
+		}
+	}
 	if lost+twice+sent > 0 || taken == 0 {
 		t.Error("the promise is broken")
 	}
--- a/internal/fleet/copies/copies.go
+++ b/internal/fleet/copies/copies.go
@@ -17,12 +17,14 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sliptide/internal/fleet/pb"
 )
 
 const (
 	resendAfter = int64(120 * time.Millisecond) // without an answer for so long, all is sent again
-	batchMost   = 1 << 20                       // bytes of records that wait to be told of to one holder
+	scrubEvery  = int64(10 * time.Second)       // between two sums of all that is live
 )
 
 // Out is a frame for a member.
@@ -42,6 +44,7 @@
 	upto        uint64
 	peers       map[string]*peer
 	out         []Out
+	scrubAt     int64
 }
 
 type peer struct {
@@ -92,9 +95,22 @@
 // names are the holders, in an order that does not change from run to run.
 func (o *Owner) names() []string { return slices.Sorted(maps.Keys(o.peers)) }
 
+// Sum is a checksum of what is live, as records, by which a holder's copy is compared with the owner's journal.
+func Sum(live []byte) uint64 { return xxhash.Sum64(live) | 1 }
+
+// Scrub tells the sum with the next batch, where it is time: live is all that is live after it.
+func (o *Owner) scrub(now int64, live func() []byte) uint64 {
+	if live == nil || now < o.scrubAt {
+		return 0
+	}
+	o.scrubAt = now + scrubEvery
+	return Sum(live())
+}
+
 // Append takes the records of one step of the journal and returns the number of their batch. upto is the highest
-// number of a message that was taken so far.
-func (o *Owner) Append(now int64, records []byte, upto uint64) uint64 {
+// number of a message that was taken so far. live is all that is live after it; it is asked for now and then, for a
+// sum that holders compare their copies by. nil: they do not.
+func (o *Owner) Append(now int64, records []byte, upto uint64, live func() []byte) uint64 {
 	o.seq++
 	o.upto = max(o.upto, upto)
 	if o.epoch == 0 {
@@ -107,7 +123,7 @@
 			continue // it gets all of it, soon
 		}
 		if c == nil {
-			c = &pb.Copy{Owner: o.name, Incarnation: o.incarnation, Epoch: o.epoch, Seq: o.seq, Upto: o.upto, Records: slices.Clone(records)}
+			c = &pb.Copy{Owner: o.name, Incarnation: o.incarnation, Epoch: o.epoch, Seq: o.seq, Upto: o.upto, Records: slices.Clone(records), Sum: o.scrub(now, live)}
 		}
 		o.send(now, name, p, c)
 	}
--- a/internal/fleet/copies/holder.go
+++ b/internal/fleet/copies/holder.go
@@ -25,9 +25,10 @@
 
 // Holder keeps copies of others' journals.
 type Holder struct {
-	store Store
-	room  int64 // bytes that all copies may take
-	kept  map[string]*Kept
+	store  Store
+	room   int64 // bytes that all copies may take
+	kept   map[string]*Kept
+	mended int
 	// Break takes guards out, for tests that show what finds that.
 	Break HolderBreak
 }
@@ -104,9 +105,16 @@
 		}
 	}
 	h.kept[c.Owner] = &next
+	if c.Sum != 0 && Sum(h.store.Live(c.Owner)) != c.Sum {
+		h.mended++
+		a.Again = true // the copy is not what the owner has: all of it comes anew
+	}
 	return a
 }
 
+// Mended is how many copies were found to differ from their owner's journal, and asked for anew.
+func (h *Holder) Mended() int { return h.mended }
+
 // Seal ends an owner's epochs below that one, and answers with what is kept; nil: that could not be kept.
 func (h *Holder) Seal(s *pb.Seal) *pb.Sealed {
 	k := h.kept[s.Owner]
--- a/internal/fleet/copies/model_test.go
+++ b/internal/fleet/copies/model_test.go
@@ -451,7 +451,7 @@
 }
 
 // append writes records to the journal's copies.
-func (m *member) append(records []byte) uint64 { return m.owner.Append(m.w.now, records, m.next) }
+func (m *member) append(records []byte) uint64 { return m.owner.Append(m.w.now, records, m.next, nil) }
 
 func (m *member) await(seq uint64, do func(kept bool)) {
 	m.wait = append(m.wait, waiting{seq, m.w.now + patience, do})
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -130,7 +130,12 @@
 	var answer *pb.Frame
 	switch w := in.frame.What.(type) {
 	case *pb.Frame_Copy:
-		if a := h.Copy(w.Copy); a != nil && w.Copy.Owner == in.from {
+		was := h.Mended()
+		a := h.Copy(w.Copy)
+		if h.Mended() > was {
+			m.o.Log.Warn().Str("owner", w.Copy.Owner).Msg("fleet: a copy differs from its owner's journal: it is asked for anew")
+		}
+		if a != nil && w.Copy.Owner == in.from {
 			answer = &pb.Frame{What: &pb.Frame_Copied{Copied: a}}
 		}
 	case *pb.Frame_Seal:
--- a/internal/fsys/fsys.go
+++ b/internal/fsys/fsys.go
@@ -42,7 +42,11 @@
 
 // Write implements FS.
 func (o OS) Write(name string, data []byte, sync bool) error {
-	f, err := os.OpenFile(o.path(name), os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	return o.put(name, os.O_TRUNC, data, sync)
+}
+
+func (o OS) put(name string, how int, data []byte, sync bool) error {
+	f, err := os.OpenFile(o.path(name), os.O_WRONLY|os.O_CREATE|how, 0o600)
 	if err != nil {
 		return err
 	}
@@ -55,15 +59,7 @@
 
 // Append implements FS.
 func (o OS) Append(name string, data []byte, sync bool) error {
-	f, err := os.OpenFile(o.path(name), os.O_WRONLY|os.O_CREATE|os.O_APPEND, 0o600)
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(data)
-	if err == nil && sync {
-		err = f.Sync()
-	}
-	return errors.Join(err, f.Close())
+	return o.put(name, os.O_APPEND, data, sync)
 }
 
 // Rename implements FS.
--- a/internal/outbound/mux.go
+++ b/internal/outbound/mux.go
@@ -96,6 +96,10 @@
 			break
 		}
 		m.waiting = m.waiting[1:]
+		if c.May != nil && !c.May() {
+			ends = append(ends, func() { m.pool.withheld(c) })
+			continue
+		}
 		if !c.begin() {
 			continue
 		}
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -55,6 +55,8 @@
 	Items    []Item
 	SentAt   time.Time
 	Timeout  time.Duration
+	// May is asked immediately before the first byte; where it says no, the call never runs. nil: it may.
+	May func() bool
 
 	state atomic.Int32
 
@@ -68,6 +70,17 @@
 // it did. The call then never ran, and nobody else reports it.
 func (c *Call) Drop() bool { return c.state.CompareAndSwap(waiting, dropped) }
 
+// withheld drops a call that may not run any more, and reports whether it did.
+func (p *Pool) withheld(c *Call) bool {
+	if c.May == nil || c.May() {
+		return false
+	}
+	if c.Drop() {
+		p.end(c, policy.Moot)
+	}
+	return true
+}
+
 func (c *Call) begin() bool { return c.state.CompareAndSwap(waiting, begun) }
 
 // Options are what a Pool needs to know.
@@ -383,7 +396,7 @@
 	deadline := c.SentAt.Add(c.Timeout)
 	k.nc.SetDeadline(deadline)
 	k.wbuf = c.append(k.wbuf[:0])
-	if !c.begin() {
+	if k.pool.withheld(c) || !c.begin() {
 		k.pool.park(k) // dropped while it waited for the connection, which is as good as any
 		return true
 	}
--- a/internal/outbound/outbound_test.go
+++ b/internal/outbound/outbound_test.go
@@ -175,3 +175,21 @@
 	defer p.mu.Unlock()
 	return len(p.idle[endpoint])
 }
+
+// TestWithheld: a call that may not run any more when its connection is there is never written, and says so.
+func TestWithheld(t *testing.T) {
+	addr, conns := peer(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	ended := make(chan []policy.Event, 1)
+	p := NewPool(Options{MaxConns: 4, KeepAlive: time.Second, DialTimeout: time.Second, X0: -1, X1: -1,
+		Done: func(_ *Call, events []policy.Event) { ended <- events }})
+	for _, may := range []bool{false, true} {
+		c := &Call{Endpoint: 7, Addr: addr, SentAt: time.Now(), Timeout: time.Second, Items: []Item{{ID: 3, Trace: "t"}}, May: func() bool { return may }}
+		p.Go(c)
+		if got := (<-ended)[0].Outcome; may != (got == policy.OK) || !may && got != policy.Moot {
+			t.Errorf("may run %v: %v", may, got)
+		}
+	}
+	if n := <-conns; n != 1 {
+		t.Errorf("the call that may run came on connection %d", n)
+	}
+}
--- a/internal/sender/calls.go
+++ b/internal/sender/calls.go
@@ -65,7 +65,7 @@
 			s.again = true
 			continue
 		}
-		s.pool.Go(c)
+		s.goWithLease(c)
 	}
 	clear(s.sends)
 	s.sends = s.sends[:0]
--- a/internal/sender/copies.go
+++ b/internal/sender/copies.go
@@ -246,6 +246,11 @@
 	for dest := range s.dests {
 		s.events = append(s.events, policy.Event{Kind: policy.EvPace, Dest: dest, Pace: pace})
 	}
+	for c := range s.calls { // what has not begun does not begin
+		if on && len(c.Items) > 0 {
+			s.drop(c)
+		}
+	}
 	for id := range s.addrs {
 		if s.apart(id) {
 			s.events = append(s.events, policy.Event{Kind: policy.EvPace, Dest: s.addrs[id].Dest, Endpoint: id, Pace: pace})
@@ -401,7 +406,7 @@
 	now := fleet.Now()
 	seq := uint64(0)
 	if records := s.journal.Tapped(); len(records) > 0 {
-		seq = c.owner.Append(now, records, s.journal.Last())
+		seq = c.owner.Append(now, records, s.journal.Last(), func() []byte { return journal.Compact(s.journal.Snapshot()) })
 	}
 	for _, o := range c.owner.Take(now, s.journal.Snapshot) {
 		c.fleet.SendCopy(o.To, o.Frame)
@@ -506,7 +511,7 @@
 	}
 	for _, call := range l.calls {
 		if go202 && s.calls[call] {
-			s.pool.Go(call)
+			s.goWithLease(call)
 		} else {
 			s.drop(call)
 			s.again = true
@@ -514,6 +519,16 @@
 	}
 }
 
+// goWithLease starts a call whose first byte goes out only while the lease on this sender's journal holds: it may wait
+// for its connection, or the process be stopped, until that is over.
+func (s *Sender) goWithLease(call *outbound.Call) {
+	if c := s.copies; c != nil && len(call.Items) > 0 {
+		name, epoch := duty.Own(c.set.Name), c.owner.Epoch()
+		call.May = func() bool { return c.fleet.Held(name) == epoch }
+	}
+	s.pool.Go(call)
+}
+
 // copyRefuses reports whether nothing can be taken on for want of the lease, or of anybody to copy to.
 func (s *Sender) copyRefuses() bool { return s.copies != nil && !s.copies.set.Take && !s.copies.live }
 
