--- a/internal/sender/copies.go
+++ b/internal/sender/copies.go
@@ -1,7 +1,6 @@
 package sender
 
 import (
-	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -24,6 +23,9 @@
 // hushedPace holds all calls back without counting one: the lease on this sender's own journal is over.
 const hushedPace = 1e-3
 
+// newsMost bounds the holders' words that wait for a step.
+const newsMost = 4096
+
 // CopySettings are how the journal is copied.
 type CopySettings struct {
 	Name     string
@@ -52,7 +54,7 @@
 	pending map[uint64]*journal.Entry // being taken over: of no module yet
 	lines   []copyLine
 	told    []*taking // whose 202 goes out with this step, once its record has
-	live    bool // the lease on this sender's own journal holds
+	live    bool      // the lease on this sender's own journal holds
 	asked   []string
 	inc     uint64 // of the folder
 	wantAt  time.Time
@@ -107,7 +109,9 @@
 		return
 	}
 	c.mu.Lock()
-	c.inbox = append(c.inbox, n)
+	if n.do != nil || len(c.inbox) < newsMost { // a holder's word that is lost comes again with its next one
+		c.inbox = append(c.inbox, n)
+	}
 	c.mu.Unlock()
 	s.Kick()
 }
@@ -163,6 +167,11 @@
 	if live != c.live {
 		c.live = live
 		s.hush(!live)
+		if why := Short; s.copyRefuses() {
+			s.refuses.Store(&why)
+		} else {
+			s.refuses.Store(nil)
+		}
 		s.log.Info().Bool("held", live).Msg("copies: the lease on this sender's journal")
 	}
 	if !live {
@@ -237,6 +246,11 @@
 	for dest := range s.dests {
 		s.events = append(s.events, policy.Event{Kind: policy.EvPace, Dest: dest, Pace: pace})
 	}
+	for c := range s.calls { // what has not begun does not begin
+		if on && len(c.Items) > 0 {
+			s.drop(c)
+		}
+	}
 	for id := range s.addrs {
 		if s.apart(id) {
 			s.events = append(s.events, policy.Event{Kind: policy.EvPace, Dest: s.addrs[id].Dest, Endpoint: id, Pace: pace})
@@ -392,7 +406,7 @@
 	now := fleet.Now()
 	seq := uint64(0)
 	if records := s.journal.Tapped(); len(records) > 0 {
-		seq = c.owner.Append(now, records, s.journal.Last())
+		seq = c.owner.Append(now, records, s.journal.Last(), func() []byte { return journal.Compact(s.journal.Snapshot()) })
 	}
 	for _, o := range c.owner.Take(now, s.journal.Snapshot) {
 		c.fleet.SendCopy(o.To, o.Frame)
@@ -492,12 +506,12 @@
 			s.drop(m.call)
 			s.journal.End(m.Entry)
 			s.forget(m)
-			t.verdict <- Verdict{RetryAfter: s.busyRetry()}
+			t.verdict <- Verdict{RetryAfter: s.busyRetry(), Short: true}
 		}
 	}
 	for _, call := range l.calls {
 		if go202 && s.calls[call] {
-			s.pool.Go(call)
+			s.goWithLease(call)
 		} else {
 			s.drop(call)
 			s.again = true
@@ -505,6 +519,16 @@
 	}
 }
 
+// goWithLease starts a call whose first byte goes out only while the lease on this sender's journal holds: it may wait
+// for its connection, or the process be stopped, until that is over.
+func (s *Sender) goWithLease(call *outbound.Call) {
+	if c := s.copies; c != nil && len(call.Items) > 0 {
+		name, epoch := duty.Own(c.set.Name), c.owner.Epoch()
+		call.May = func() bool { return c.fleet.Held(name) == epoch }
+	}
+	s.pool.Go(call)
+}
+
 // copyRefuses reports whether nothing can be taken on for want of the lease, or of anybody to copy to.
 func (s *Sender) copyRefuses() bool { return s.copies != nil && !s.copies.set.Take && !s.copies.live }
 
@@ -524,5 +548,13 @@
 	return wait
 }
 
-// ErrNoCopies says why messages are refused, for /up and the log.
-var ErrNoCopies = errors.New("too few members can be reached to copy what is taken on")
+// Short says why messages are refused, for their clients, /up and the log.
+const Short = "too few members can be reached to copy what is taken on"
+
+// Refuses is why this sender takes nothing on, for /up; empty: it does. It is safe for concurrent use.
+func (s *Sender) Refuses() string {
+	if why := s.refuses.Load(); why != nil {
+		return *why
+	}
+	return ""
+}
