A class may wait for another number of copies

Change: <class name needed> in <copies>; answers and calls of one step wait in a line for each number; what is taken over waits for as many as are left, where few are.

--- a/cmd/sliptide/fleet.go
+++ b/cmd/sliptide/fleet.go
@@ -83,7 +83,11 @@
 	snd.Join(m)
 	if c := op.Fleet.Copies; c.Enabled {
 		self, _ := m.set.Self()
-		snd.Copy(m, sender.CopySettings{Name: m.set.Name, Zone: self.Zone, Count: c.Count, Needed: c.Needed, Patience: c.Patience, Take: c.Take})
+		set := sender.CopySettings{Name: m.set.Name, Zone: self.Zone, Count: c.Count, Needed: c.Needed, Patience: c.Patience, Take: c.Take, ByClass: map[string]int{}}
+		for _, k := range c.Classes {
+			set.ByClass[k.Name] = k.Needed
+		}
+		snd.Copy(m, set)
 	}
 	if op.Fleet.Trials.Enabled {
 		snd.ShareTrials(m, trial.Settings{Senders: senders, Bound: float64(op.Fleet.Trials.Bound) / float64(time.Millisecond)})
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -53,6 +53,23 @@
 	Patience time.Duration
 	Take     bool // where too few can be reached: take messages on all the same, else refuse them
 	Room     int64
+	Classes  []CopyClass
+}
+
+// CopyClass sets another number of copies for the messages of one class.
+type CopyClass struct {
+	Name   string
+	Needed int
+}
+
+// tooMany finds a class that waits for more copies than there are.
+func (c *Copies) tooMany() string {
+	for _, k := range c.Classes {
+		if k.Needed > c.Count {
+			return fmt.Sprintf("fleet: copies: class %q: needed=\"%d\" of count=\"%d\"; allowed: count at most", k.Name, k.Needed, c.Count)
+		}
+	}
+	return ""
 }
 
 // Voters are the members that vote.
@@ -164,6 +181,17 @@
 				Name: "room", Fallback: "64MiB", Values: strictxml.Sized(64<<10, 1<<40), Doc: "What copies of others may take here, within limits.disk_mb.",
 				Put: func(f *File, v int64) { f.Fleet.Copies.Room = v },
 			}},
+			Children: []element{{
+				Name: "class", Doc: "A class whose messages wait for another number of copies than the rest.", Repeated: true, Unique: "name",
+				Add: func(f *File) { f.Fleet.Copies.Classes = append(f.Fleet.Copies.Classes, CopyClass{}) },
+				Attrs: []attribute{{
+					Name: "name", Required: true, Values: strictxml.Text("[!-~]{1,100}", "a class's name, without blanks"), Doc: "Its name in the platform's settings.",
+					Text: func(f *File, v string) { f.Fleet.Copies.Classes[len(f.Fleet.Copies.Classes)-1].Name = v },
+				}, {
+					Name: "needed", Required: true, Values: strictxml.Whole(1, 4), Doc: "Members that must have such a message before its client is told 202; count at most.",
+					Put: func(f *File, v int64) { f.Fleet.Copies.Classes[len(f.Fleet.Copies.Classes)-1].Needed = int(v) },
+				}},
+			}},
 		}},
 	}
 }
@@ -185,6 +213,8 @@
 		return fmt.Sprintf("fleet: duties: lease=%q is shorter than two election times of %v; allowed: %v or more, or each election would end every lease", f.Duties.Lease, f.Duties.Election, 2*f.Duties.Election)
 	case f.Copies.Enabled && f.Copies.Needed > f.Copies.Count:
 		return fmt.Sprintf("fleet: copies: needed=\"%d\" of count=\"%d\"; allowed: count at most", f.Copies.Needed, f.Copies.Count)
+	case f.Copies.Enabled && f.Copies.tooMany() != "":
+		return f.Copies.tooMany()
 	case f.Copies.Enabled && f.Copies.Count >= len(f.Members):
 		return fmt.Sprintf("fleet: copies: count=\"%d\" among %d members; allowed: fewer than there are others", f.Copies.Count, len(f.Members))
 	case (f.Cert == "") != (f.Key == "") || (f.Cert == "") != (f.CA == ""):
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -26,6 +26,9 @@
 func TestFleetThatMakesNoSense(t *testing.T) {
 	for name, c := range map[string]struct{ text, want string }{
 		"no voters":         {fleetOf(``, ``), "allowed: 3 or 5"},
+		"more than count":   {strings.Replace(fleetOf(``, voters3), `<duties`, `<copies enabled="true" count="1" needed="2"/><duties`, 1), "count at most"},
+		"class over count":  {strings.Replace(fleetOf(``, voters3), `<duties`, `<copies enabled="true" count="1"><class name="pay" needed="2"/></copies><duties`, 1), `class "pay"`},
+		"too few members":   {strings.Replace(fleetOf(``, voters3), `<duties`, `<copies enabled="true" count="3"/><duties`, 1), "among 3 members"},
 		"even":              {fleetOf(``, voters3+`<member name="n4" addr="127.0.0.1:4" voter="true"/>`), "4 members have voter"},
 		"one address":       {fleetOf(``, voters3+`<member name="n4" addr="127.0.0.1:1"/>`), `"n1" and "n4" both have`},
 		"public address":    {fleetOf(``, voters3+`<member name="n4" addr="203.0.113.9:1"/>`), "without ca, cert and key"},
--- a/internal/sender/copies.go
+++ b/internal/sender/copies.go
@@ -32,6 +32,7 @@
 	Zone     string
 	Count    int
 	Needed   int
+	ByClass  map[string]int // of classes that wait for another number of copies, by name
 	Patience time.Duration
 	Take     bool // where too few holders can be reached: take messages on all the same
 }
@@ -80,6 +81,7 @@
 // copyLine waits for the holders' word on a batch.
 type copyLine struct {
 	seq    uint64
+	needed int // holders that must have the batch
 	till   time.Time
 	orders []*taking
 	calls  []*outbound.Call
@@ -304,8 +306,8 @@
 		c.pending[e.Num] = e
 		h.nums = append(h.nums, e.Num)
 	}
-	s.again = true // they are written, and copied, by this very step
-	c.lines = append(c.lines, copyLine{till: time.Now().Add(time.Second), done: func(kept bool) {
+	s.again = true // they are written, and copied, by this very step: to as many as are left, where few are
+	c.lines = append(c.lines, copyLine{needed: max(min(c.most(), len(c.fleet.Look().Present)-1), 0), till: time.Now().Add(time.Second), done: func(kept bool) {
 		if !kept {
 			s.discard(h)
 			return
@@ -422,9 +424,19 @@
 // copyWait puts a step's answers and calls in line for the holders' word. What need not wait is left.
 func (s *Sender) copyWait(seq uint64) {
 	c := s.copies
-	l := copyLine{seq: seq, till: time.Now().Add(c.set.Patience)}
+	first, till := len(c.lines), time.Now().Add(c.set.Patience)
+	line := func(needed int) *copyLine {
+		for i := first; i < len(c.lines); i++ {
+			if c.lines[i].needed == needed {
+				return &c.lines[i]
+			}
+		}
+		c.lines = append(c.lines, copyLine{seq: seq, needed: needed, till: till})
+		return &c.lines[len(c.lines)-1]
+	}
 	s.orders = slices.DeleteFunc(s.orders, func(t *taking) bool {
 		if !t.refused {
+			l := line(c.needs(t.entry.Class))
 			l.orders = append(l.orders, t)
 		}
 		return !t.refused
@@ -434,12 +446,33 @@
 			return false
 		}
 		s.calls[call] = true
+		needed := 0
+		for i := range call.Items {
+			if m := s.msgs[call.Items[i].ID]; m != nil {
+				needed = max(needed, c.needs(m.Class))
+			}
+		}
+		l := line(needed)
 		l.calls = append(l.calls, call)
 		return true
 	})
-	if len(l.orders)+len(l.calls) > 0 {
-		c.lines = append(c.lines, l)
+}
+
+// needs is how many holders must have a message of a class.
+func (c *copier) needs(class string) int {
+	if n, set := c.set.ByClass[class]; set {
+		return n
+	}
+	return c.set.Needed
+}
+
+// most is what any class needs: what is taken over may be of each.
+func (c *copier) most() int {
+	n := c.set.Needed
+	for _, v := range c.set.ByClass {
+		n = max(n, v)
 	}
+	return n
 }
 
 // mustWait reports whether a call's first byte waits for copies: of a message whose client has no answer yet, and of
@@ -469,11 +502,11 @@
 // copyLines lets go on what the holders have, and gives up what they do not have in time.
 func (s *Sender) copyLines() {
 	c := s.copies
-	committed, now := c.owner.Committed(c.set.Needed), time.Now()
+	now := time.Now()
 	lines := c.lines
 	c.lines = nil
 	for _, l := range lines {
-		kept := l.seq != 0 && committed >= l.seq && c.live
+		kept := l.seq != 0 && c.live && c.owner.Committed(l.needed) >= l.seq
 		if !kept && now.Before(l.till) {
 			c.lines = append(c.lines, l)
 			continue
