--- a/cmd/sliptide/losses_test.go
+++ b/cmd/sliptide/losses_test.go
@@ -144,10 +144,11 @@
 	for i := range l.rigs {
 		clients.Go(func() { l.hand(i, stop) })
 	}
+	rng := rand.New(rand.NewPCG(seed, 25)) // the partner draws from its own
 	for i := range n {
-		k := l.rng.IntN(len(l.rigs))
+		k := rng.IntN(len(l.rigs))
 		r := l.rigs[k]
-		time.Sleep(time.Duration(200+l.rng.IntN(600)) * time.Millisecond) // load runs: nothing is waited for
+		time.Sleep(time.Duration(200+rng.IntN(600)) * time.Millisecond) // load runs: nothing is waited for
 		r.kill(syscall.SIGKILL)
 		if err := os.RemoveAll(r.state); err != nil {
 			t.Fatal(err)
