Review: where copies go is looked at each 50 ms, not at every step; one reader of /proc in tests

Need: reading the change once more: each step of a sender with copies ranked all members anew, and two tests read what a process uses in the same lines.

Change: placeEvery in internal/sender/copies.go; standin.CPU and standin.Resident.

--- a/cmd/sliptide/h2_test.go
+++ b/cmd/sliptide/h2_test.go
@@ -400,7 +400,7 @@
 	<-got
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 128}}
 	var wg sync.WaitGroup
-	from, begin, n := cpuOf(r.proc.Process.Pid), time.Now(), 0
+	from, begin, n := standin.CPU(r.proc.Process.Pid), time.Now(), 0
 	for w := range flight {
 		wg.Add(1)
 		go func() {
@@ -425,12 +425,12 @@
 		}()
 	}
 	wg.Wait()
-	cpu := cpuOf(r.proc.Process.Pid) - from
+	cpu := standin.CPU(r.proc.Process.Pid) - from
 	mu.Lock()
 	defer mu.Unlock()
 	slices.Sort(delivery)
 	return fmt.Sprintf("%-8s %2d in flight: %4d messages, %2d connections, delivery p50 %.2f p99 %.2f ms, CPU %.0f us and %d bytes a message, resident %.1f MB",
-		proto, flight, n, conns, quantile(delivery, .5), quantile(delivery, .99), cpu/float64(n)*1e6, wire.bytes.Load()/int64(n), rssOf(r.proc.Process.Pid))
+		proto, flight, n, conns, quantile(delivery, .5), quantile(delivery, .99), cpu/float64(n)*1e6, wire.bytes.Load()/int64(n), standin.Resident(r.proc.Process.Pid))
 }
 
 // Keys are read again on SIGHUP: a request that is out goes on, the next connection uses the new ones; and
--- a/cmd/sliptide/losses_test.go
+++ b/cmd/sliptide/losses_test.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"sliptide/internal/standin"
 )
 
 // losses is a team under load whose machines are lost, with the ledgers of clients, partner and platform.
@@ -271,7 +273,7 @@
 	m.drain(stop)
 	m.copying()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 128}, Timeout: time.Second}
-	cpu := cpuOf(r.proc.Process.Pid)
+	cpu := standin.CPU(r.proc.Process.Pid)
 	refused := 0
 	var wg sync.WaitGroup
 	const span = 6 * time.Second
@@ -304,7 +306,7 @@
 	}
 	wg.Wait()
 	time.Sleep(300 * time.Millisecond) // the last calls end
-	used := cpuOf(r.proc.Process.Pid) - cpu
+	used := standin.CPU(r.proc.Process.Pid) - cpu
 	mu.Lock()
 	defer mu.Unlock()
 	t.Logf("202: p50 %.1f ms, p99 %.1f ms; delivery: p50 %.1f ms, p99 %.1f ms; %d taken on, %d refused, %.2f ms of a core a message",
--- a/cmd/sliptide/measure_test.go
+++ b/cmd/sliptide/measure_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"sliptide/internal/lab/collector"
+	"sliptide/internal/standin"
 )
 
 // Long measurements, behind `make measure`: they print tables for docs/knowledge.md and judge nothing.
@@ -233,14 +234,14 @@
 		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 		rng := rand.New(rand.NewPCG(seed, 3))
 		time.Sleep(time.Second)
-		from := cpuOf(r.proc.Process.Pid)
+		from := standin.CPU(r.proc.Process.Pid)
 		began := time.Now()
 		next := time.Now()
 		for i, end := 0, time.Now().Add(length); time.Now().Before(end); i++ {
 			next = next.Add(time.Duration(rng.ExpFloat64() / rate * 1e9)) // open loop: a late one is made up for
 			time.Sleep(time.Until(next))
 			if time.Since(began) > time.Duration(len(res.rssAt)+1)*10*time.Second {
-				res.rssAt = append(res.rssAt, math.Round(10*rssOf(r.proc.Process.Pid))/10)
+				res.rssAt = append(res.rssAt, math.Round(10*standin.Resident(r.proc.Process.Pid))/10)
 			}
 			wg.Add(1)
 			go func() {
@@ -266,8 +267,8 @@
 			}()
 		}
 		wg.Wait()
-		res.cpu = (cpuOf(r.proc.Process.Pid) - from) / length.Seconds() * 100
-		res.rss = rssOf(r.proc.Process.Pid)
+		res.cpu = (standin.CPU(r.proc.Process.Pid) - from) / length.Seconds() * 100
+		res.rss = standin.Resident(r.proc.Process.Pid)
 		mu.Lock()
 		defer mu.Unlock()
 		res.intake50, res.intake99 = quantile(intake, .5), quantile(intake, .99)
@@ -363,27 +364,3 @@
 	slices.Sort(list)
 	return list[int(q*float64(len(list)-1))]
 }
-
-// cpuOf is the CPU time of a process in seconds.
-func cpuOf(pid int) float64 {
-	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	f := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
-	if len(f) < 13 {
-		return math.NaN()
-	}
-	user, _ := strconv.ParseFloat(f[11], 64)
-	system, _ := strconv.ParseFloat(f[12], 64)
-	return (user + system) / 100
-}
-
-// rssOf is the resident memory of a process in MB.
-func rssOf(pid int) float64 {
-	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	for _, line := range strings.Split(string(text), "\n") {
-		if strings.HasPrefix(line, "VmRSS:") {
-			kb, _ := strconv.ParseFloat(strings.Fields(line)[1], 64)
-			return kb / 1024
-		}
-	}
-	return math.NaN()
-}
--- a/internal/fleet/measure_test.go
+++ b/internal/fleet/measure_test.go
@@ -1,16 +1,15 @@
 package fleet_test
 
 import (
-	"fmt"
 	"os"
 	"slices"
 	"strconv"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	"sliptide/internal/fleet"
+	"sliptide/internal/standin"
 )
 
 // TestMeasureGaps tells, for each kind of fault, how long a duty had no holder, over SLIPTIDE_FAULTS faults (100 by
@@ -97,7 +96,7 @@
 		time.Sleep(5 * time.Second)
 		cpu := func() (voters, rest float64) {
 			for i, p := range r.procs {
-				if v := cpuOf(p.cmd.Process.Pid); i < 3 {
+				if v := standin.CPU(p.cmd.Process.Pid); i < 3 {
 					voters += v
 				} else {
 					rest += v
@@ -113,7 +112,7 @@
 		b1 := r.bytes()
 		rss := 0.0
 		for _, p := range r.procs {
-			rss = max(rss, rssOf(p.cmd.Process.Pid))
+			rss = max(rss, standin.Resident(p.cmd.Process.Pid))
 		}
 		t.Logf("%d members: %.2f%% of a core a voter, %.2f%% another member (with this test's own looks each 4 ms), most memory %.1f MB, %.0f B/s on links a member",
 			3+members, (v1-v0)/3/span*100, (m1-m0)/float64(max(members, 1))/span*100, rss, float64(b1-b0)/span/float64(3+members))
@@ -127,25 +126,3 @@
 	}
 	return n
 }
-
-func cpuOf(pid int) float64 {
-	b, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	f := strings.Fields(string(b))
-	if len(f) < 15 {
-		return 0
-	}
-	u, _ := strconv.ParseFloat(f[13], 64)
-	s, _ := strconv.ParseFloat(f[14], 64)
-	return (u + s) / 100
-}
-
-func rssOf(pid int) float64 {
-	b, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	for _, line := range strings.Split(string(b), "\n") {
-		if v, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-			kb, _ := strconv.ParseFloat(strings.Fields(v)[0], 64)
-			return kb / 1024
-		}
-	}
-	return 0
-}
--- a/internal/sender/copies.go
+++ b/internal/sender/copies.go
@@ -23,6 +23,9 @@
 // hushedPace holds all calls back without counting one: the lease on this sender's own journal is over.
 const hushedPace = 1e-3
 
+// placeEvery is between two looks at where copies go.
+const placeEvery = 50 * time.Millisecond
+
 // newsMost bounds the holders' words that wait for a step.
 const newsMost = 4096
 
@@ -59,7 +62,8 @@
 	asked   []string
 	inc     uint64 // of the folder
 	wantAt  time.Time
-	short   uint64 // messages that were refused, or taken on without copies
+	placeAt time.Time // of the next look at where copies go
+	short   uint64    // messages that were refused, or taken on without copies
 
 	mu    sync.Mutex
 	inbox []copyNews
@@ -192,7 +196,10 @@
 		c.asked = nil
 	}
 	c.owner.Holders(d.Holders)
-	s.placeCopies(look, d)
+	if now := time.Now(); now.After(c.placeAt) { // members come and go in seconds: not at every step
+		c.placeAt = now.Add(placeEvery)
+		s.placeCopies(look, d)
+	}
 }
 
 // placeCopies asks the fleet for other holders where the members ask for them.
--- /dev/null
+++ b/internal/standin/process.go
@@ -0,0 +1,33 @@
+package standin
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"strconv"
+	"strings"
+)
+
+// CPU is the processor time that a process has used, in seconds; NaN if there is no such process.
+func CPU(pid int) float64 {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	f := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	if len(f) < 13 {
+		return math.NaN()
+	}
+	user, _ := strconv.ParseFloat(f[11], 64)
+	system, _ := strconv.ParseFloat(f[12], 64)
+	return (user + system) / 100
+}
+
+// Resident is the resident memory of a process in MB; NaN if there is no such process.
+func Resident(pid int) float64 {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	for _, line := range strings.Split(string(text), "\n") {
+		if v, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, _ := strconv.ParseFloat(strings.Fields(v)[0], 64)
+			return kb / 1024
+		}
+	}
+	return math.NaN()
+}
