Test of killed voters: the member that lives through it may keep its duty

The test at fault (cuts_test.go) demanded another holder, though a session that goes on rightly keeps its duties; whether it failed hung on which member held duty/0 by then. Ruled out: a duty without a holder (the looks of n4 go on).

Change: any member may hold it; of each of the three duties, a holder that was killed has a token above all before.

--- a/internal/fleet/cuts_test.go
+++ b/internal/fleet/cuts_test.go
@@ -138,17 +138,18 @@
 	}
 	r.awaitAll(25 * time.Second)
 	r.judge()
-	// Whoever holds a duty anew has a token above all before.
+	// Whoever holds a duty anew has a token above all before. The member that is no voter lives through it all: what
+	// it held it may hold still, under the token that it had.
 	at := fleet.Now()
-	for _, p := range r.procs {
-		if p.name != "n4" {
-			r.kill(p)
-			r.start(p)
-		}
+	for _, p := range r.procs[:3] {
+		r.kill(p)
+		r.start(p)
 	}
-	l := r.holder(0, at+int64(2500*time.Millisecond), "n4", 25*time.Second)
-	if l.token <= highest && l.member != "n4" {
-		t.Errorf("a token of %d after one of %d", l.token, highest)
+	for d := range duties {
+		l := r.holder(d, at+int64(2500*time.Millisecond), "", 25*time.Second)
+		if l.token <= highest && l.member != "n4" {
+			t.Errorf("%s holds %s with a token of %d after one of %d", l.member, dutyName(d), l.token, highest)
+		}
 	}
 	r.judge()
 }
