A call that waits for its connection no longer takes along a message that has ended

Cause, at fault cutShort in internal/sender/outcomes.go: a message whose time is up in a bulk call was taken out of the sender's books and ended by its notice, although the call may not have begun: when its connection was there, all its messages went out. Shown without the bench by TestEndedIsNotSentOn, which fails at once on the old code. Ruled out by reading: single calls (their deadline is the connection's), the withdrawal of unheard messages, refusals within a step.

Change: a call that has not begun is dropped whole; the messages that have time left are tried again.

Also: members of the fleet's tests listen at addresses of their own; a port that a connection's own end took had one fail with 'address already in use'.

--- a/internal/fleet/procs_test.go
+++ b/internal/fleet/procs_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -134,8 +135,13 @@
 	logs  strings.Builder
 }
 
+var addrs atomic.Int32
+
+// freeAddr is a port of an address that no other member or test has: nothing else, and no connection's own end, can
+// take it between here and the member's start.
 func freeAddr(t testing.TB) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	n := addrs.Add(1)
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.80.%d.%d:0", n/250, n%250+1))
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/sender/cutshort_test.go
@@ -0,0 +1,102 @@
+package sender
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"sliptide/internal/discovery"
+	"sliptide/internal/journal"
+	"sliptide/internal/statedir"
+	"sliptide/policy"
+)
+
+// TestEndedIsNotSentOn: two messages share a call that waits for its connection. The time of one of them is up
+// meanwhile, so that it ends with a notice. When the connection is there, it must not go out with the other one.
+func TestEndedIsNotSentOn(t *testing.T) {
+	bodies := make(chan string, 10)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		b, _ := io.ReadAll(q.Body)
+		bodies <- q.Header.Get("X-Trace-Id") + string(b)
+	}))
+	defer srv.Close()
+	j, _, err := journal.Open(t.TempDir(), statedir.NewSpace(1<<20).Account())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer j.Close()
+	notices := make(chan discovery.Notice, 10)
+	s := New(Options{Settings: policy.Settings{
+		Senders: 1, CallSlots: 10, MaxAttempts: 6, MaxHeld: 100, KeepAlive: 10000, DialTimeout: 1000, Cold: 10000, ColdFrom: 0.25,
+		TipMultiple: 1.5, TipAfter: 3000, TellsRetry: true, MaxRetryAfter: 2000, X0: -1, X1: -1, Kinds: []policy.DestKind{{Batch: 5}},
+		Classes: []policy.Class{{Name: "safe", Aim: 2000, Deadline: 20000, Worth: 1, LateWorth: 0.5, Effect: policy.Safe}},
+	}, Seed: 1, Sockets: 10, Journal: j, Clock: NewClock(), Log: zerolog.Nop(), Notices: func(n discovery.Notice) { notices <- n }})
+	s.pool.PaceDials(3, 2)
+	s.takeList(&discovery.List{Full: true, Entries: []discovery.Endpoint{{Endpoint: policy.Endpoint{ID: 1, Dest: 3, State: policy.Ready}, Name: "e", Addr: srv.Listener.Addr().String()}}})
+	step := func() { s.tick(); s.step() }
+	take := func(trace string, left time.Duration) {
+		s.takeOrder(&order{msg: &Message{Trace: []byte(trace), Dest: 3, Left: left, Body: []byte(trace)}, received: time.Now(), verdict: make(chan Verdict, 1)})
+	}
+	take("first", 10*time.Second) // its connection has the turn that is free, and is kept busy by nobody
+	step()
+	next := func() string {
+		select {
+		case b := <-bodies:
+			return b
+		case <-time.After(10 * time.Second):
+			t.Fatal("no call")
+			return ""
+		}
+	}
+	next()
+	s.pool.HangUp(1)
+	for len(s.calls) > 0 { // the first call has ended
+		s.take(<-s.in)
+	}
+	s.pool.HangUp(1)
+	take("short", 200*time.Millisecond)
+	take("long", 10*time.Second)
+	step()
+	if len(s.calls) != 1 {
+		t.Fatalf("%d calls, want one of both messages", len(s.calls))
+	}
+	for ended := false; !ended; {
+		step()
+		select {
+		case n := <-notices:
+			ended = n.Trace == "short"
+		case in := <-s.in:
+			s.tick()
+			s.take(in)
+		case <-time.After(time.Millisecond):
+		}
+	}
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case in := <-s.in: // what the pool reports while nobody steps
+				_ = in
+			}
+		}
+	}()
+	for {
+		select {
+		case b := <-bodies:
+			if strings.Contains(b, "short") || strings.Contains(b, "c2hvcnQ") {
+				t.Fatal("a message was sent on after its notice")
+			}
+			return
+		case <-time.After(2 * time.Millisecond):
+			step()
+		}
+	}
+}
--- a/internal/sender/outcomes.go
+++ b/internal/sender/outcomes.go
@@ -57,11 +57,13 @@
 	}
 }
 
-// drop gives up a call that has not begun; its messages learn at once that it never ran.
-func (s *Sender) drop(c *outbound.Call) {
-	if c != nil && c.Drop() {
-		s.takeOutcome(c, c.Dropped())
+// drop gives up a call that has not begun, and reports whether it did; its messages learn at once that it never ran.
+func (s *Sender) drop(c *outbound.Call) bool {
+	if c == nil || !c.Drop() {
+		return false
 	}
+	s.takeOutcome(c, c.Dropped())
+	return true
 }
 
 // cutShort ends attempts whose time is up in a call that goes on for others: a
@@ -77,6 +79,9 @@
 			if m == nil || m.call != c || m.cutAt > s.now {
 				continue
 			}
+			if s.drop(c) { // it still waits for its connection, and would take along what is ended by then
+				break
+			}
 			m.call = nil
 			s.journal.Outcome(m.Entry, true)
 			s.events = append(s.events, policy.Event{
