--- a/cmd/sliptide/fleet.go
+++ b/cmd/sliptide/fleet.go
@@ -201,7 +201,7 @@
 }
 
 // Ask implements sender.CopyFleet.
-func (m *membership) Ask(c *pb.Command, done func(error)) {
+func (m *membership) Ask(c *pb.Command, done func(*pb.Answer, error)) {
 	if f := m.get(); f != nil {
 		f.Ask(c, done)
 	}
--- a/cmd/sliptide/fleet_test.go
+++ b/cmd/sliptide/fleet_test.go
@@ -39,6 +39,7 @@
 	at     time.Time
 	sender string
 	id     string
+	key    string
 	taken  bool
 }
 
@@ -53,7 +54,10 @@
 }
 
 // newTeamWith is a team of n senders, the first three voters, with what else the fleet's element holds.
-func newTeamWith(t *testing.T, more string, n int) *team {
+func newTeamWith(t *testing.T, more string, n int) *team { return newTeamOf(t, more, n, nil) }
+
+// newTeamOf is newTeamWith with changes to each sender's rig before it starts.
+func newTeamOf(t *testing.T, more string, n int, change func(i int, r *rig)) *team {
 	t.Parallel()
 	m := &team{t: t}
 	var members strings.Builder
@@ -71,6 +75,9 @@
 		r.config["name"] = fmt.Sprint("n", i)
 		r.list = append(r.list, r.partner("p-5", 5, m.partner))
 		r.config["known"] = map[string]any{"version": 1, "full": true, "servers": r.list}
+		if change != nil {
+			change(i, r)
+		}
 		m.rigs = append(m.rigs, r)
 	}
 	for _, r := range m.rigs {
@@ -90,7 +97,7 @@
 	}
 	m.mu.Lock()
 	down := m.down
-	m.calls = append(m.calls, teamCall{time.Now(), sender, q.Header.Get("X-Trace-Id"), !down})
+	m.calls = append(m.calls, teamCall{time.Now(), sender, q.Header.Get("X-Trace-Id"), q.Header.Get("Idempotency-Key"), !down})
 	m.mu.Unlock()
 	if down {
 		nc, _, _ := w.(http.Hijacker).Hijack()
--- /dev/null
+++ b/cmd/sliptide/inherit_test.go
@@ -0,0 +1,252 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// These tests lose a machine with its disk and look at what its heir makes of what it was handed.
+
+// shifted builds the program for a machine whose wall clock is off.
+func shifted(t *testing.T, by time.Duration) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "sliptide")
+	args := []string{"build", "-race", "-ldflags", "-X sliptide/internal/sender.wallShift=" + by.String(), "-o", path, "."}
+	if out, err := exec.Command("go", args...).CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	return path
+}
+
+// hold hands in messages at a sender that must take them on.
+func (m *team) hold(i, n int, left float64) (ids []string) {
+	m.t.Helper()
+	for k := range n {
+		id := fmt.Sprintf("n%d-held-%d", i, k)
+		m.rigs[i].take(id, 5, left, "two guests, one night")
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// lose kills a sender and takes its folder away.
+func (m *team) lose(i int) {
+	m.t.Helper()
+	m.rigs[i].kill(syscall.SIGKILL)
+	m.rigs[i].proc = nil
+	if err := os.RemoveAll(m.rigs[i].state); err != nil {
+		m.t.Fatal(err)
+	}
+}
+
+// allEnded waits until each message has a final answer.
+func (m *team) allEnded(ids []string) {
+	m.t.Helper()
+	m.await("all have their final answer", func() bool {
+		got := m.final()
+		for _, id := range ids {
+			if got[id] == 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestHeirsClockIsOff: the heirs' wall clocks are an hour fast, or slow, beside the lost owner's. What is in time is
+// delivered, and what is not is ended when its time is up: no wall clock decides between processes.
+func TestHeirsClockIsOff(t *testing.T) {
+	for _, by := range []time.Duration{time.Hour, -time.Hour} {
+		t.Run(by.String(), func(t *testing.T) {
+			program := shifted(t, by)
+			m := newTeamOf(t, copiesXML, 4, func(i int, r *rig) {
+				if i > 0 {
+					r.binary = program
+				}
+			})
+			stop := make(chan struct{})
+			defer close(stop)
+			m.drain(stop)
+			m.copying()
+			m.set(true)
+			ids := m.hold(0, 6, 15)
+			from := time.Now()
+			var short []string
+			for k := range 4 {
+				id := fmt.Sprintf("n0-short-%d", k)
+				m.rigs[0].take(id, 5, 4, "x")
+				short = append(short, id)
+			}
+			m.lose(0)
+			m.allEnded(short)
+			m.eachEnd(func(e ending) {
+				if strings.HasPrefix(e.Message, "n0-short") && (e.at.Sub(from) < 3*time.Second || e.at.Sub(from) > 4*time.Second+late300+time.Second) {
+					t.Errorf("%s: %s after %v, its time was 4 s", e.Message, e.Outcome, e.at.Sub(from))
+				}
+			})
+			m.set(false)
+			m.allEnded(ids)
+			got := m.taken()
+			delivered := 0
+			for _, id := range ids {
+				delivered += got[id]
+			}
+			if delivered < len(ids)-1 { // the 202 of the last one may have been under way
+				t.Errorf("%d of %d that were in time were delivered", delivered, len(ids))
+			}
+		})
+	}
+}
+
+// eachEnd looks at each notice that the platforms had.
+func (m *team) eachEnd(look func(ending)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, e := range m.ends {
+		look(e)
+	}
+}
+
+// handAgain hands a message in again elsewhere, as its sender died.
+func (m *team) handAgain(i int, id, key, class string) int {
+	q, _ := http.NewRequest("POST", "http://"+m.rigs[i].addr+"/api", strings.NewReader("two guests, one night"))
+	for k, v := range map[string]string{"X-Trace-Id": id, "X-Qos": class, "X-Customer": "acme", "Idempotency-Key": key,
+		"X-Expires-In": "15", "X-Route-To": "dest=5", "X-Second-Try": "again"} {
+		q.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// effects counts the calls that the partner took, by the message's idempotency key.
+func (m *team) effects(key string) (n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range m.calls {
+		if c.taken && c.key == key {
+			n++
+		}
+	}
+	return n
+}
+
+// TestHandedInAgain: a sender is lost, and its client hands the message in again at another one, before an heir has
+// taken the first one's copy over, or after. One of the two answers for it: it takes effect once.
+func TestHandedInAgain(t *testing.T) {
+	for _, after := range []bool{false, true} {
+		t.Run(fmt.Sprintf("after the heir %v", after), func(t *testing.T) {
+			m := newTeamWith(t, copiesXML, 4)
+			stop := make(chan struct{})
+			defer close(stop)
+			m.drain(stop)
+			m.copying()
+			m.set(true)
+			ids := m.hold(0, 6, 15)
+			m.lose(0)
+			took := func() bool {
+				return slices.ContainsFunc(m.rigs[1:], func(r *rig) bool { return strings.Contains(r.logs.String(), `"copies: took over"`) })
+			}
+			if after {
+				m.await("an heir has taken over", took)
+			}
+			want := 202
+			if after {
+				want = 409
+			}
+			var second []string
+			for k := range 3 {
+				id := fmt.Sprintf("n%d-second-%d", k+1, k)
+				m.await("the message is answered for", func() bool {
+					code := m.handAgain(k+1, id, "key-"+ids[k], "note")
+					if code != want && code != 503 && code != 0 {
+						t.Fatalf("%s: %d, want %d", id, code, want)
+					}
+					return code == want
+				})
+				second = append(second, id)
+			}
+			m.await("an heir has taken over", took)
+			m.set(false)
+			m.allEnded(ids)
+			if !after {
+				m.allEnded(second)
+			}
+			for k, id := range ids {
+				n := m.effects("key-" + id)
+				if n > 1 || n == 0 && k < 3 {
+					t.Errorf("%s took effect %d times", id, n)
+				}
+			}
+		})
+	}
+}
+
+// TestHoldsGoWithCopies: a lost sender was told a wait, and had an endpoint taken out by hand. Its heir sends nothing
+// inside the wait, and nothing to that endpoint while it has messages of the lost one.
+func TestHoldsGoWithCopies(t *testing.T) {
+	const wait = 6 * time.Second
+	var waits atomic.Int64 // until when, in nanoseconds
+	var early, good, shunned atomic.Int32
+	admin := teamAddr()
+	m := newTeamOf(t, copiesXML, 4, func(i int, r *rig) {
+		if i == 0 {
+			r.config["admin"] = admin
+		}
+		r.list = append(r.list, r.partner("p-6a", 6, func(w http.ResponseWriter, q *http.Request) {
+			if q.Header.Get("X-Trace-Id") == "" {
+				return
+			}
+			if until := waits.Load(); until == 0 {
+				waits.Store(time.Now().Add(wait).UnixNano())
+				w.Header().Set("Retry-After", fmt.Sprint(wait.Seconds()))
+				w.WriteHeader(429)
+			} else if time.Now().UnixNano() < until {
+				early.Add(1)
+			} else {
+				good.Add(1)
+			}
+		}), r.partner("p-6b", 6, func(w http.ResponseWriter, q *http.Request) {
+			if q.Header.Get("X-Trace-Id") != "" {
+				shunned.Add(1)
+			}
+		}))
+		r.config["known"] = map[string]any{"version": 1, "full": true, "servers": r.list}
+	})
+	stop := make(chan struct{})
+	defer close(stop)
+	m.drain(stop)
+	m.copying()
+	if status, text := byHand(t, admin, "POST", "/endpoints/disable", "p-6b"); status != 200 {
+		t.Fatalf("disable: %d %s", status, text)
+	}
+	m.rigs[0].take("n0-6-0", 6, 18, "x")
+	m.await("the partner has told a wait", func() bool { return waits.Load() != 0 })
+	for k := range 4 {
+		m.rigs[0].take(fmt.Sprintf("n0-6-%d", k+1), 6, 18, "x")
+	}
+	m.lose(0)
+	m.await("an heir has taken over", func() bool {
+		return slices.ContainsFunc(m.rigs[1:], func(r *rig) bool { return strings.Contains(r.logs.String(), `"copies: took over"`) })
+	})
+	if left := time.Until(time.Unix(0, waits.Load())); left < time.Second {
+		t.Fatalf("the taking over took too long for this test: %v of the wait are left", left)
+	}
+	m.await("the wait is over", func() bool { return time.Now().UnixNano() > waits.Load() })
+	m.await("the heir calls the endpoint that was not taken out", func() bool { return good.Load() > 0 })
+	if early.Load() > 0 || shunned.Load() > 0 {
+		t.Errorf("%d calls inside the wait, %d at the endpoint that was taken out", early.Load(), shunned.Load())
+	}
+}
--- a/cmd/sliptide/rig_test.go
+++ b/cmd/sliptide/rig_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -104,6 +105,7 @@
 	path      string // of the configuration
 	state     string
 	operator  string // path of the operators' file; empty: none
+	binary    string // the program; empty: the one that all tests start
 	config    map[string]any
 	proc      *exec.Cmd
 	logs      logBuffer
@@ -333,9 +335,10 @@
 func (r *rig) launch() {
 	r.t.Helper()
 	r.configure()
-	r.proc = exec.Command(binary)
+	program := cmp.Or(r.binary, binary)
+	r.proc = exec.Command(program)
 	if r.operator != "" {
-		r.proc = exec.Command(binary, "run", "--operator", r.operator)
+		r.proc = exec.Command(program, "run", "--operator", r.operator)
 	}
 	r.proc.Env = append(os.Environ(), "RELAY_CONFIG="+r.path, "RELAY_STATE="+r.state, "GORACE=atexit_sleep_ms=0",
 		fmt.Sprint("RELAY_DISCOVERY=", r.config["discovery"]))
--- a/internal/fleet/copies/copies.go
+++ b/internal/fleet/copies/copies.go
@@ -45,6 +45,7 @@
 	peers       map[string]*peer
 	out         []Out
 	scrubAt     int64
+	ahead       int64 // the owner's clock in Unix milliseconds, less the caller's monotonic one
 }
 
 type peer struct {
@@ -75,6 +76,9 @@
 // Of sets the folder whose journal it is.
 func (o *Owner) Of(incarnation uint64) { o.incarnation = incarnation }
 
+// Clock tells by how much the clock that deadlines go by, in Unix milliseconds, is ahead of the caller's monotonic one.
+func (o *Owner) Clock(ahead int64) { o.ahead = ahead }
+
 // Epoch is the token that is copied under, 0 if there is none.
 func (o *Owner) Epoch() uint64 { return o.epoch }
 
@@ -123,7 +127,7 @@
 			continue // it gets all of it, soon
 		}
 		if c == nil {
-			c = &pb.Copy{Owner: o.name, Incarnation: o.incarnation, Epoch: o.epoch, Seq: o.seq, Upto: o.upto, Records: slices.Clone(records), Sum: o.scrub(now, live)}
+			c = &pb.Copy{Owner: o.name, Incarnation: o.incarnation, Epoch: o.epoch, Seq: o.seq, Upto: o.upto, Records: slices.Clone(records), Sum: o.scrub(now, live), Clock: now/1e6 + o.ahead}
 		}
 		o.send(now, name, p, c)
 	}
@@ -213,7 +217,7 @@
 				continue
 			}
 			if c == nil {
-				c = &pb.Copy{Owner: o.name, Incarnation: o.incarnation, Epoch: o.epoch, Seq: o.seq, Reset_: true, Upto: o.upto, Records: snapshot()}
+				c = &pb.Copy{Owner: o.name, Incarnation: o.incarnation, Epoch: o.epoch, Seq: o.seq, Reset_: true, Upto: o.upto, Records: snapshot(), Clock: now/1e6 + o.ahead}
 			}
 			p.reset, p.acked, p.waits = max(o.seq, 1), 0, max(o.seq, 1)
 			c.Seq = p.reset
--- a/internal/fleet/copies/heir.go
+++ b/internal/fleet/copies/heir.go
@@ -31,12 +31,13 @@
 	asked  map[string]bool
 	heard  map[string]bool
 	nextAt int64
+	clock  Reckoning // of the owner's clock, by what the holders reckon
 }
 
 // NewHeir begins to take over: holders are all that the fleet has agreed on, adopted is the owner's last adoption, nil
 // if there was none. What was kept before that is its heir's.
 func NewHeir(owner string, epoch uint64, holders []string, adopted *pb.Adoption) *Heir {
-	h := &Heir{Owner: owner, Epoch: epoch, void: adopted.GetToken(), asked: map[string]bool{}, heard: map[string]bool{}}
+	h := &Heir{Owner: owner, Epoch: epoch, void: adopted.GetToken(), asked: map[string]bool{}, heard: map[string]bool{}, clock: NewReckoning()}
 	for _, name := range holders {
 		h.asked[name] = true
 	}
@@ -51,7 +52,7 @@
 	h.nextAt = now + askEvery
 	for name := range h.asked {
 		if !h.heard[name] {
-			out = append(out, Out{name, &pb.Frame{What: &pb.Frame_Seal{Seal: &pb.Seal{Owner: h.Owner, Epoch: h.Epoch}}}})
+			out = append(out, Out{name, &pb.Frame{What: &pb.Frame_Seal{Seal: &pb.Seal{Owner: h.Owner, Epoch: h.Epoch, At: now}}}})
 		}
 	}
 	slices.SortFunc(out, func(a, b Out) int {
@@ -70,10 +71,21 @@
 	}
 	h.heard[from] = true
 	if s.Have && s.From > h.void && (h.Found == nil || s.From > h.Found.From || s.From == h.Found.From && s.Seq > h.Found.Seq) {
+		if h.Found == nil || s.From > h.Found.From {
+			h.clock = NewReckoning() // an earlier epoch's clock is another process's
+		}
 		h.Found = s
 	}
+	// Counted from when it was asked: the deadlines come out early by the answer's way, and never late by it.
+	if s.Have && s.Clock != 0 && h.Found != nil && s.From == h.Found.From {
+		h.clock.Heard(s.At, s.Clock)
+	}
 }
 
+// Clock is by how much the owner's clock, in Unix milliseconds, is ahead of the caller's monotonic one; false: no holder
+// knows, as all of them were started anew since.
+func (h *Heir) Clock() (ahead int64, known bool) { return h.clock.Ahead() }
+
 // Look goes on once every holder has answered whose session goes on. One whose session is over is lost, too: what it
 // alone has is lost with it, as is promised for more losses than there are copies.
 func (h *Heir) Look(present func(string) bool) Stage {
--- a/internal/fleet/copies/holder.go
+++ b/internal/fleet/copies/holder.go
@@ -11,6 +11,8 @@
 	Seq         uint64
 	Upto        uint64
 	Sealed      uint64 // epochs below are over
+	Ahead       int64  // by how much the owner's clock is ahead of this machine's monotonic one, in milliseconds
+	Boot        uint64 // of this machine, which Ahead is of; 0: it is not known
 }
 
 // Store keeps copies: Reset replaces an owner's records, Append adds to them, Mark keeps what else is known. Each has
@@ -28,6 +30,8 @@
 	store  Store
 	room   int64 // bytes that all copies may take
 	kept   map[string]*Kept
+	clocks map[string]*Reckoning
+	boot   uint64
 	mended int
 	// Break takes guards out, for tests that show what finds that.
 	Break HolderBreak
@@ -41,15 +45,44 @@
 	BreakHoles HolderBreak = 1 << iota // batches are taken with others missing before them
 )
 
-// NewHolder returns a holder of what a store has kept.
-func NewHolder(store Store, room int64, kept map[string]Kept) *Holder {
-	h := &Holder{store: store, room: room, kept: map[string]*Kept{}}
+// NewHolder returns a holder of what a store has kept. boot names this start of the machine, by which the monotonic
+// clock goes: what was reckoned by an earlier one is void.
+func NewHolder(store Store, room int64, boot uint64, kept map[string]Kept) *Holder {
+	h := &Holder{store: store, room: room, boot: boot, kept: map[string]*Kept{}, clocks: map[string]*Reckoning{}}
 	for owner, k := range kept {
 		h.kept[owner] = &k
+		if r := h.clock(owner); k.Boot == boot && boot != 0 {
+			r.best = k.Ahead
+		}
 	}
 	return h
 }
 
+// clock is the reckoning of an owner's clock.
+func (h *Holder) clock(owner string) *Reckoning {
+	r := h.clocks[owner]
+	if r == nil {
+		fresh := NewReckoning()
+		r = &fresh
+		h.clocks[owner] = r
+	}
+	return r
+}
+
+// hear takes the owner's clock from a batch. Another epoch may be another process, with a clock of its own.
+func (h *Holder) hear(now int64, old *Kept, c *pb.Copy, next *Kept) {
+	if c.Epoch != old.Epoch || c.Incarnation != old.Incarnation {
+		delete(h.clocks, c.Owner)
+	}
+	r := h.clock(c.Owner)
+	if c.Clock != 0 {
+		r.Heard(now, c.Clock)
+	}
+	if ahead, known := r.Ahead(); known {
+		next.Ahead, next.Boot = ahead, h.boot
+	}
+}
+
 // Kept is what is kept of an owner.
 func (h *Holder) Kept(owner string) (Kept, bool) {
 	if k := h.kept[owner]; k != nil {
@@ -66,7 +99,7 @@
 }
 
 // Copy takes a batch, and answers once it is kept; nil: it could not be kept, and is sent again.
-func (h *Holder) Copy(c *pb.Copy) *pb.Copied {
+func (h *Holder) Copy(now int64, c *pb.Copy) *pb.Copied {
 	a := &pb.Copied{Owner: c.Owner, Epoch: c.Epoch, Seq: c.Seq}
 	old := h.kept[c.Owner]
 	if old == nil {
@@ -77,6 +110,7 @@
 		return a
 	}
 	next := Kept{Incarnation: c.Incarnation, Epoch: c.Epoch, Seq: c.Seq, Upto: c.Upto, Sealed: old.Sealed}
+	h.hear(now, old, c, &next)
 	switch {
 	case c.Reset_ && c.Epoch == old.Epoch && c.Seq < old.Seq: // late: more is kept
 		a.Seq = old.Seq
@@ -116,7 +150,7 @@
 func (h *Holder) Mended() int { return h.mended }
 
 // Seal ends an owner's epochs below that one, and answers with what is kept; nil: that could not be kept.
-func (h *Holder) Seal(s *pb.Seal) *pb.Sealed {
+func (h *Holder) Seal(now int64, s *pb.Seal) *pb.Sealed {
 	k := h.kept[s.Owner]
 	if k == nil {
 		k = &Kept{}
@@ -127,9 +161,12 @@
 		return nil
 	}
 	h.kept[s.Owner] = &next
-	a := &pb.Sealed{Owner: s.Owner, Epoch: s.Epoch}
+	a := &pb.Sealed{Owner: s.Owner, Epoch: s.Epoch, At: s.At}
 	if next.Epoch != 0 && next.Epoch < s.Epoch {
 		a.Have, a.Incarnation, a.From, a.Seq, a.Upto, a.Records = true, next.Incarnation, next.Epoch, next.Seq, next.Upto, h.store.Live(s.Owner)
+		if ahead, known := h.clock(s.Owner).Ahead(); known {
+			a.Clock = now/1e6 + ahead
+		}
 	}
 	return a
 }
--- a/internal/fleet/copies/keep/keep.go
+++ b/internal/fleet/copies/keep/keep.go
@@ -21,7 +21,7 @@
 	prefix = "copy-"
 	slack  = 64 << 10 // bytes of records that are over, beside as much again as is live
 	head   = 8
-	meta   = 5 * binary.MaxVarintLen64
+	meta   = 7 * binary.MaxVarintLen64
 )
 
 // errRoom is the error of a copy that the folder has no room for.
@@ -77,7 +77,7 @@
 		b = b[head+n:]
 		kind := p[0]
 		p = p[1:]
-		var v [5]uint64
+		var v [7]uint64
 		for i := range v {
 			u, k := binary.Uvarint(p)
 			if k <= 0 {
@@ -85,7 +85,7 @@
 			}
 			v[i], p = u, p[k:]
 		}
-		x.kept = copies.Kept{Incarnation: v[0], Epoch: v[1], Seq: v[2], Upto: v[3], Sealed: v[4]}
+		x.kept = copies.Kept{Incarnation: v[0], Epoch: v[1], Seq: v[2], Upto: v[3], Sealed: v[4], Ahead: int64(v[5]), Boot: v[6]}
 		if kind == 'R' {
 			x.batch = nil
 		}
@@ -96,7 +96,7 @@
 func record(kind byte, k copies.Kept, records []byte) []byte {
 	b := make([]byte, head, head+1+meta+len(records))
 	b = append(b, kind)
-	for _, v := range []uint64{k.Incarnation, k.Epoch, k.Seq, k.Upto, k.Sealed} {
+	for _, v := range []uint64{k.Incarnation, k.Epoch, k.Seq, k.Upto, k.Sealed, uint64(k.Ahead), k.Boot} {
 		b = binary.AppendUvarint(b, v)
 	}
 	b = append(b, records...)
--- a/internal/fleet/copies/model_test.go
+++ b/internal/fleet/copies/model_test.go
@@ -223,7 +223,7 @@
 		m.store, m.kept = memStore{}, map[string]Kept{}
 	}
 	m.owner = NewOwner(m.name, m.incarnation)
-	m.holder = NewHolder(m.store, 1<<20, m.kept)
+	m.holder = NewHolder(m.store, 1<<20, 1, m.kept)
 	m.holder.Break = m.w.guards.holder
 	m.heirs, m.wait, m.calls, m.session, m.inbox = map[string]*Heir{}, nil, nil, 0, nil
 	for i := range m.journal {
@@ -478,7 +478,7 @@
 	w := m.w
 	switch x := f.f.What.(type) {
 	case *pb.Frame_Copy:
-		if a := m.holder.Copy(x.Copy); a != nil {
+		if a := m.holder.Copy(w.now, x.Copy); a != nil {
 			k, _ := m.holder.Kept(x.Copy.Owner)
 			m.kept[x.Copy.Owner] = k
 			w.send(m, []Out{{f.from.name, &pb.Frame{What: &pb.Frame_Copied{Copied: a}}}})
@@ -486,7 +486,7 @@
 	case *pb.Frame_Copied:
 		m.owner.Copied(w.now, f.from.name, x.Copied)
 	case *pb.Frame_Seal:
-		if a := m.holder.Seal(x.Seal); a != nil {
+		if a := m.holder.Seal(w.now, x.Seal); a != nil {
 			k, _ := m.holder.Kept(x.Seal.Owner)
 			m.kept[x.Seal.Owner] = k
 			w.send(m, []Out{{f.from.name, &pb.Frame{What: &pb.Frame_Sealed{Sealed: a}}}})
--- a/internal/fleet/copies/scrub_test.go
+++ b/internal/fleet/copies/scrub_test.go
@@ -9,7 +9,7 @@
 // TestScrub: a copy that is not what the owner has is found by the sum that comes with a batch, and sent anew.
 func TestScrub(t *testing.T) {
 	store := memStore{}
-	h := NewHolder(store, 1<<20, nil)
+	h := NewHolder(store, 1<<20, 1, nil)
 	o := NewOwner("a", 1)
 	o.Begin(3)
 	o.Holders([]string{"b"})
@@ -17,7 +17,7 @@
 	snapshot := func() []byte { return dump(journal) }
 	deliver := func(now int64) (again bool) {
 		for _, out := range o.Take(now, snapshot) {
-			a := h.Copy(out.Frame.GetCopy())
+			a := h.Copy(now, out.Frame.GetCopy())
 			o.Copied(now, "b", a)
 			again = again || a.Again
 		}
@@ -41,7 +41,7 @@
 	if got := live(store["a"]); len(got) != 2 || !o.Synced("b") {
 		t.Errorf("after it was sent anew: %v", got)
 	}
-	if a := h.Copy(&pb.Copy{Owner: "a", Epoch: 2, Seq: 9}); !a.Sealed {
+	if a := h.Copy(0, &pb.Copy{Owner: "a", Epoch: 2, Seq: 9}); !a.Sealed {
 		t.Errorf("an older epoch: %v", a)
 	}
 }
--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -21,8 +21,10 @@
 const (
 	MaxSessions = 1024
 	MaxDuties   = 8192
-	MaxWaiting  = 16  // candidates of one duty beside its holder
-	MaxName     = 128 // bytes of a duty's name, and of a word
+	MaxWaiting  = 16   // candidates of one duty beside its holder
+	MaxName     = 128  // bytes of a duty's name, and of a word
+	MaxKeys     = 4096 // messages handed in again that are known, and as many that were taken over
+	maxBefore   = 8    // earlier takings over of one owner's messages that are known
 )
 
 // Refusals. They are answers, not failures: the command has had no effect.
@@ -68,6 +70,8 @@
 	duties   map[string]*Duty
 	removed  map[string]bool
 	adopted  map[string]*pb.Adoption // by owner, the last
+	again    keys                    // messages that were handed in again, and by whom they were taken
+	taken    keys                    // messages that were taken over, and by whom
 	voters   map[uint64]string
 	changed  []*pb.Duty // by the command that is applied
 }
@@ -86,6 +90,7 @@
 	Began   uint64       // the session that began,
 	Ended   []uint64     // and those that ended
 	Adopted *pb.Adoption // what was handed on, of an Adopt
+	Keys    []uint64     // of an Again: whose messages an heir has; of an Adopt: that were handed in again
 }
 
 // Apply applies the command at that place in the log, in that term of the voters' agreement.
@@ -124,8 +129,10 @@
 		r.Err = s.keep(w.Keep)
 		r.Duty = s.shown(w.Keep.Duty)
 	case *pb.Command_Adopt:
-		r.Adopted, r.Err = s.adopt(w.Adopt)
+		r.Adopted, r.Keys, r.Err = s.adopt(w.Adopt)
 		r.Duty = s.shown(w.Adopt.Duty)
+	case *pb.Command_Again:
+		r.Keys, r.Err = s.handedAgain(w.Again)
 	default:
 		r.Err = ErrCommand
 	}
@@ -465,26 +472,56 @@
 }
 
 // adopt hands an owner's messages on to the heir that holds its duty. From here on they are the heir's, whoever
-// comes back.
-func (s *State) adopt(a *pb.Adopt) (*pb.Adoption, error) {
+// comes back. It returns the keys of those that their clients have handed in again elsewhere: they are that sender's.
+func (s *State) adopt(a *pb.Adopt) (*pb.Adoption, []uint64, error) {
 	d, err := s.held(a.Duty, a.Session, a.Token)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	v := s.sessions[a.Session]
 	owner, own := strings.CutPrefix(a.Duty, Own(""))
 	if !own || v == nil || owner == v.Member {
-		return nil, ErrUnknown
+		return nil, nil, ErrUnknown
 	}
 	if len(s.adopted) >= MaxSessions && s.adopted[owner] == nil {
-		return nil, ErrFull
+		return nil, nil, ErrFull
 	}
-	ad := &pb.Adoption{Owner: owner, Incarnation: a.Incarnation, Upto: a.Upto, Token: a.Token, By: v.Member}
+	if last := s.adopted[owner]; last != nil && last.Token == a.Token { // once more: its answer was lost
+		return last, last.Elsewhere, nil
+	}
+	ad := &pb.Adoption{Owner: owner, Incarnation: a.Incarnation, Upto: a.Upto, Token: a.Token, By: v.Member, Before: earlier(s.adopted[owner])}
+	ad.Elsewhere = s.inherit(owner, v.Member, a.Keys)
 	s.adopted[owner] = ad
 	s.version++
 	d.Holders = nil // what they keep of it is void
 	s.note(d)
-	return ad, nil
+	return ad, ad.Elsewhere, nil
+}
+
+// earlier are the takings over up to the last one, the last first.
+func earlier(last *pb.Adoption) []*pb.Agreed {
+	if last == nil {
+		return nil
+	}
+	list := append([]*pb.Agreed{Agreed(last, last.Token)}, last.Before...)
+	return list[:min(len(list), maxBefore)]
+}
+
+// Agreed is the taking over of an owner's messages with that token; nil: there was none, or so long ago that it is not
+// known any more.
+func Agreed(last *pb.Adoption, token uint64) *pb.Agreed {
+	if last == nil {
+		return nil
+	}
+	if last.Token == token {
+		return &pb.Agreed{Token: last.Token, By: last.By, Elsewhere: last.Elsewhere}
+	}
+	for _, b := range last.Before {
+		if b.Token == token {
+			return b
+		}
+	}
+	return nil
 }
 
 // Adopted is the last adoption of an owner's messages, nil if there was none.
@@ -627,6 +664,7 @@
 	}
 	slices.Sort(p.Removed)
 	p.Adoptions = s.Adoptions()
+	p.Again, p.Inherited = s.again.show(), s.taken.show()
 	return proto.MarshalOptions{Deterministic: true}.Marshal(p)
 }
 
@@ -662,5 +700,7 @@
 	for _, name := range p.Removed {
 		s.removed[name] = true
 	}
+	s.again.load(p.Again)
+	s.taken.load(p.Inherited)
 	return s, nil
 }
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -1,9 +1,12 @@
 package fleet
 
 import (
+	"os"
 	"slices"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sliptide/internal/fleet/copies"
 	"sliptide/internal/fleet/copies/keep"
 	"sliptide/internal/fleet/duty"
@@ -90,12 +93,21 @@
 }
 
 // Ask has a command agreed on and tells what came of it, on a goroutine of the member's. It waits for nothing.
-func (m *Member) Ask(c *pb.Command, done func(error)) {
+func (m *Member) Ask(c *pb.Command, done func(*pb.Answer, error)) {
 	m.own(func() {
-		m.session.Do(&pb.Ask{Command: c}, m.o.Settings.Terms.Length, func(_ *pb.Answer, err error) { done(err) })
+		m.session.Do(&pb.Ask{Command: c}, m.o.Settings.Terms.Length, done)
 	})
 }
 
+// bootID names this start of the machine, by which CLOCK_BOOTTIME goes; 0: the system does not tell.
+func bootID() uint64 {
+	id, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(id) | 1
+}
+
 // runKeeper keeps copies of others' journals.
 func (m *Member) runKeeper() {
 	defer m.done.Done()
@@ -111,7 +123,7 @@
 		if err != nil {
 			m.o.Log.Error().Err(err).Msg("fleet: copies cannot be kept here")
 		} else {
-			holder = copies.NewHolder(files, m.o.CopyRoom, kept)
+			holder = copies.NewHolder(files, m.o.CopyRoom, bootID(), kept)
 		}
 	}
 	for {
@@ -131,7 +143,7 @@
 	switch w := in.frame.What.(type) {
 	case *pb.Frame_Copy:
 		was := h.Mended()
-		a := h.Copy(w.Copy)
+		a := h.Copy(m.now(), w.Copy)
 		if h.Mended() > was {
 			m.o.Log.Warn().Str("owner", w.Copy.Owner).Msg("fleet: a copy differs from its owner's journal: it is asked for anew")
 		}
@@ -139,7 +151,7 @@
 			answer = &pb.Frame{What: &pb.Frame_Copied{Copied: a}}
 		}
 	case *pb.Frame_Seal:
-		if a := h.Seal(w.Seal); a != nil {
+		if a := h.Seal(m.now(), w.Seal); a != nil {
 			answer = &pb.Frame{What: &pb.Frame_Sealed{Sealed: a}}
 		}
 	}
--- a/internal/fleet/voter/voter.go
+++ b/internal/fleet/voter/voter.go
@@ -536,7 +536,7 @@
 		return
 	}
 	delete(v.pending, c.Id)
-	a := &pb.Answer{Id: p.ask, Session: r.Session, Version: version, Duty: r.Duty, Gone: errors.Is(r.Err, duty.ErrSession)}
+	a := &pb.Answer{Id: p.ask, Session: r.Session, Version: version, Duty: r.Duty, Keys: r.Keys, Gone: errors.Is(r.Err, duty.ErrSession)}
 	if r.Err != nil {
 		a.Error = r.Err.Error()
 	} else if c.GetOpen() != nil && !v.granted.Heard(r.Session, v.now) {
--- a/internal/intake/api.go
+++ b/internal/intake/api.go
@@ -56,6 +56,8 @@
 		return response{status: 202, num: v.Num}
 	case v.Known: // no number: what becomes of this answer says nothing of who handed it in first
 		return response{status: 409, text: "X-Trace-Id was taken on before"}
+	case v.Elsewhere:
+		return response{status: 409, text: "another sender has taken this message over from the one that was lost"}
 	case v.NoRoute: // the list may be late: to come again does no harm
 		return response{status: 503, retry: v.RetryAfter, text: "no such destination is listed"}
 	}
@@ -65,6 +67,9 @@
 	return response{status: refuseBusy, retry: v.RetryAfter}
 }
 
+// orphan is the X-Second-Try of a message whose sender died or did not answer.
+const orphan = "again"
+
 // message reads a message from a request; wrong says what is missing or makes no sense.
 func (s *Server) message(m *http1.Message) (msg sender.Message, wrong string) {
 	h := &m.Headers
@@ -92,7 +97,8 @@
 		return msg, "X-Route-To"
 	}
 	msg.Parent = h.Get("traceparent")
-	msg.Again = len(h.Get("X-Second-Try")) > 0
+	second := h.Get("X-Second-Try")
+	msg.Again, msg.Orphan = len(second) > 0, string(second) == orphan
 	return msg, ""
 }
 
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -89,7 +89,8 @@
 	live   map[uint64]*Entry
 	tap    []byte // the records since the last Tapped, where they are wanted
 	tapped bool
-	used   int64 // bytes that the live entries take in a fresh file
+	holds  map[holdKey]Hold // for copies alone
+	used   int64            // bytes that the live entries take in a fresh file
 	next   uint64
 }
 
@@ -302,6 +303,9 @@
 	for _, e := range j.entries() {
 		b = e.frames(b)
 	}
+	for _, h := range j.Holds() {
+		b = frame(b, h.record)
+	}
 	return b
 }
 
@@ -512,6 +516,12 @@
 		return errRecord
 	}
 	d := decoder{b: payload[1:]}
+	if payload[0] == recHold {
+		if h := d.hold(); d.err == nil {
+			j.set(h)
+		}
+		return d.err
+	}
 	num := d.uvarint()
 	if payload[0] == recTaken {
 		e := d.entry(num)
--- a/internal/sender/clock.go
+++ b/internal/sender/clock.go
@@ -10,14 +10,18 @@
 	startMS float64
 }
 
+// wallShift is by how much this machine's wall clock is off, as time.ParseDuration reads it. It is empty but in
+// tests of machines whose clocks disagree, which set it when they link the program.
+var wallShift string
+
 // NewClock returns a Clock that starts now.
-func NewClock() Clock {
-	now := time.Now()
-	return Clock{now, float64(now.UnixNano()) / 1e6}
-}
+func NewClock() Clock { return Clock{time.Now(), Wall()} }
 
 // Now is the time.
 func (c Clock) Now() float64 { return c.startMS + float64(time.Since(c.start))/1e6 }
 
 // Wall is the wall clock in Unix milliseconds, which may have been stepped since.
-func Wall() float64 { return float64(time.Now().UnixNano()) / 1e6 }
+func Wall() float64 {
+	shift, _ := time.ParseDuration(wallShift)
+	return float64(time.Now().Add(shift).UnixNano()) / 1e6
+}
--- a/internal/sender/copies.go
+++ b/internal/sender/copies.go
@@ -45,7 +45,7 @@
 	Fleet
 	Look() *fleet.Look
 	SendCopy(to string, f *pb.Frame)
-	Ask(c *pb.Command, done func(error))
+	Ask(c *pb.Command, done func(*pb.Answer, error))
 	Incarnation() uint64 // of this member's folder; 0: it has not joined yet
 }
 
@@ -58,6 +58,7 @@
 	pending map[uint64]*journal.Entry // being taken over: of no module yet
 	lines   []copyLine
 	told    []*taking // whose 202 goes out with this step, once its record has
+	claim   *claim    // of the messages that are handed in again in this step
 	live    bool      // the lease on this sender's own journal holds
 	asked   []string
 	inc     uint64 // of the folder
@@ -78,8 +79,8 @@
 // heirOf is a taking over.
 type heirOf struct {
 	*copies.Heir
-	nums  []uint64 // of the entries in this journal
-	stuck bool     // the fleet is being asked
+	nums  []uint64       // of the entries in this journal
+	holds []journal.Hold // where nothing may be sent, by this sender's clock
 }
 
 // copyLine waits for the holders' word on a batch.
@@ -87,6 +88,7 @@
 	seq    uint64
 	needed int // holders that must have the batch
 	till   time.Time
+	claims []*claim // that must be answered, too
 	orders []*taking
 	calls  []*outbound.Call
 	done   func(kept bool)
@@ -104,6 +106,9 @@
 		}
 	}
 	s.events = slices.DeleteFunc(s.events, func(e policy.Event) bool { return s.copies.pending[e.ID] != nil })
+	for _, id := range s.out.IDs() {
+		s.holdByHand(id, true)
+	}
 }
 
 // CopyNews takes a frame of copies from a member. It does not wait.
@@ -153,10 +158,12 @@
 			}
 		}
 	}
+	c.owner.Clock(int64(s.clock.Now()) - now/1e6)
 	look := c.fleet.Look()
 	s.ownJournal(look)
 	s.settlePending(look)
 	s.inherit(now, look)
+	s.reopen()
 	s.copyLines()
 }
 
@@ -216,7 +223,7 @@
 		return
 	}
 	c.asked = next
-	c.fleet.Ask(&pb.Command{What: &pb.Command_Keep{Keep: &pb.Keep{Session: look.Session, Duty: d.Name, Token: d.Token, Holders: next}}}, func(err error) {
+	c.fleet.Ask(&pb.Command{What: &pb.Command_Keep{Keep: &pb.Keep{Session: look.Session, Duty: d.Name, Token: d.Token, Holders: next}}}, func(*pb.Answer, error) {
 		s.copyNews(copyNews{do: func() { c.asked = nil }})
 	})
 }
@@ -274,141 +281,6 @@
 	}
 }
 
-// inherit takes over what lost owners had whose duty this member holds.
-func (s *Sender) inherit(now int64, look *fleet.Look) {
-	c := s.copies
-	for owner, d := range look.Own {
-		if owner == c.set.Name || !look.Mine(d) || c.fleet.Held(d.Name) != d.Token || !c.live {
-			continue
-		}
-		h := c.heirs[owner]
-		if h == nil || h.Epoch != d.Token {
-			h = &heirOf{Heir: copies.NewHeir(owner, d.Token, d.Holders, look.Adopted[owner])}
-			c.heirs[owner] = h
-			s.log.Info().Str("owner", owner).Strs("holders", d.Holders).Msg("copies: taking over from a lost sender")
-		}
-		for _, o := range h.Take(now) {
-			c.fleet.SendCopy(o.To, o.Frame)
-		}
-		switch h.Look(look.Is) {
-		case copies.Ready:
-			s.bring(h, d)
-		case copies.Done:
-			delete(c.heirs, owner)
-			c.fleet.Leave(d.Name, false)
-		}
-	}
-}
-
-// bring puts what was found into this sender's own journal; once that is copied, the fleet is asked to agree.
-func (s *Sender) bring(h *heirOf, d *pb.Duty) {
-	c := s.copies
-	h.Stage, h.nums = copies.Copying, nil
-	for _, e := range journal.Replay(h.Found.Records) {
-		if e.Origin != "" {
-			continue // it was being taken over itself: that was not agreed on, or it is the owner's
-		}
-		e.Num, e.Origin, e.Token = s.journal.Next(), d.Name, d.Token
-		s.journal.Take(e)
-		c.pending[e.Num] = e
-		h.nums = append(h.nums, e.Num)
-	}
-	s.again = true // they are written, and copied, by this very step: to as many as are left, where few are
-	c.lines = append(c.lines, copyLine{needed: max(min(c.most(), len(c.fleet.Look().Present)-1), 0), till: time.Now().Add(time.Second), done: func(kept bool) {
-		if !kept {
-			s.discard(h)
-			return
-		}
-		h.Stage = copies.Adopting
-		adopt := &pb.Adopt{Session: d.Session, Duty: d.Name, Token: d.Token, Incarnation: h.Found.Incarnation, Upto: h.Found.Upto}
-		c.fleet.Ask(&pb.Command{What: &pb.Command_Adopt{Adopt: adopt}}, func(err error) {
-			s.copyNews(copyNews{do: func() { s.adopted(h, err) }})
-		})
-	}})
-}
-
-// discard gives up a try to take over; it begins again where the duty is still held.
-func (s *Sender) discard(h *heirOf) {
-	for _, num := range h.nums {
-		if e := s.copies.pending[num]; e != nil {
-			delete(s.copies.pending, num)
-			s.journal.End(e)
-		}
-	}
-	if s.copies.heirs[h.Owner] == h {
-		delete(s.copies.heirs, h.Owner)
-	}
-}
-
-// adopted takes what the fleet says of a taking over. Without a word, the look at what is agreed on tells.
-func (s *Sender) adopted(h *heirOf, err error) {
-	if err != nil {
-		s.log.Warn().Err(err).Str("owner", h.Owner).Msg("copies: the fleet has not agreed yet that these messages are taken over")
-		return // settlePending finds out
-	}
-	s.activate(h.Owner, h.Epoch)
-	h.Stage = copies.Done
-}
-
-// activate makes the entries of an agreed taking over this sender's messages.
-func (s *Sender) activate(owner string, token uint64) {
-	n, sure := 0, 0
-	for num, e := range s.copies.pending {
-		if e.Origin != duty.Own(owner) || e.Token != token {
-			continue
-		}
-		delete(s.copies.pending, num)
-		s.journal.Adopted(e)
-		n++
-		if !e.Sure && e.Ending == journal.NotEnding {
-			// Its client may have been refused: it is handed back, and never sent.
-			s.owe(e, journal.HandedBack, 0)
-			continue
-		}
-		sure++
-		s.restore(e)
-	}
-	s.again = true
-	s.log.Info().Str("owner", owner).Int("messages", n).Int("sure", sure).Msg("copies: took over")
-}
-
-// settlePending finds out what came of takings over whose end this sender has not heard of, of an earlier life too.
-func (s *Sender) settlePending(look *fleet.Look) {
-	c := s.copies
-	if len(c.pending) == 0 || look.Session == 0 {
-		return
-	}
-	type try struct {
-		owner string
-		token uint64
-	}
-	open := map[try]bool{}
-	for _, e := range c.pending {
-		open[try{e.Origin[len(duty.Own("")):], e.Token}] = true
-	}
-	for t := range open {
-		a, d, h := look.Adopted[t.owner], look.Own[t.owner], c.heirs[t.owner]
-		switch {
-		case a != nil && a.Token == t.token && a.By == c.set.Name:
-			s.activate(t.owner, t.token)
-			if h != nil && h.Epoch == t.token {
-				h.Stage = copies.Done
-			}
-		case a != nil && a.Token > t.token, look.Mine(d) && d.Token > t.token, d != nil && !look.Mine(d), d == nil:
-			// The duty is another's now, or nobody's: it was not agreed on, and never will be.
-			for num, e := range c.pending {
-				if e.Origin == duty.Own(t.owner) && e.Token == t.token {
-					delete(c.pending, num)
-					s.journal.End(e)
-				}
-			}
-			if h != nil && h.Epoch == t.token {
-				delete(c.heirs, t.owner)
-			}
-		}
-	}
-}
-
 // copyOut copies what a step has written. It returns the batch's number.
 func (s *Sender) copyOut() uint64 {
 	c := s.copies
@@ -428,22 +300,24 @@
 	return seq
 }
 
-// copyWait puts a step's answers and calls in line for the holders' word. What need not wait is left.
+// copyWait puts a step's answers and calls in line for the holders' word, and for the fleet's on what was handed in
+// again. What need not wait is left.
 func (s *Sender) copyWait(seq uint64) {
 	c := s.copies
+	s.askAgain()
 	first, till := len(c.lines), time.Now().Add(c.set.Patience)
-	line := func(needed int) *copyLine {
+	line := func(needed int, claims []*claim) *copyLine {
 		for i := first; i < len(c.lines); i++ {
-			if c.lines[i].needed == needed {
+			if c.lines[i].needed == needed && slices.Equal(c.lines[i].claims, claims) {
 				return &c.lines[i]
 			}
 		}
-		c.lines = append(c.lines, copyLine{seq: seq, needed: needed, till: till})
+		c.lines = append(c.lines, copyLine{seq: seq, needed: needed, claims: claims, till: till})
 		return &c.lines[len(c.lines)-1]
 	}
 	s.orders = slices.DeleteFunc(s.orders, func(t *taking) bool {
 		if !t.refused {
-			l := line(c.needs(t.entry.Class))
+			l := line(c.needs(t.entry.Class), s.openClaims(t.entry.Num))
 			l.orders = append(l.orders, t)
 		}
 		return !t.refused
@@ -454,12 +328,13 @@
 		}
 		s.calls[call] = true
 		needed := 0
+		var nums []uint64
 		for i := range call.Items {
 			if m := s.msgs[call.Items[i].ID]; m != nil {
-				needed = max(needed, c.needs(m.Class))
+				needed, nums = max(needed, c.needs(m.Class)), append(nums, m.Num)
 			}
 		}
-		l := line(needed)
+		l := line(needed, s.openClaims(nums...))
 		l.calls = append(l.calls, call)
 		return true
 	})
@@ -513,7 +388,7 @@
 	lines := c.lines
 	c.lines = nil
 	for _, l := range lines {
-		kept := l.seq != 0 && c.live && c.owner.Committed(l.needed) >= l.seq
+		kept := l.seq != 0 && c.live && c.owner.Committed(l.needed) >= l.seq && answered(l.claims)
 		if !kept && now.Before(l.till) {
 			c.lines = append(c.lines, l)
 			continue
@@ -535,22 +410,19 @@
 		switch {
 		case m == nil: // over already
 			t.verdict <- Verdict{RetryAfter: lateLeast}
+		case m.claim.has(m.Entry): // an heir's: nothing was sent of it here
+			s.takeBack(m, telemetry.CauseRoom)
+			t.verdict <- Verdict{Elsewhere: true}
 		case go202:
 			s.journal.Confirm(m.Entry)
 			s.copies.told = append(s.copies.told, t)
 		default:
-			s.watchOver(t.entry, telemetry.NotTaken, 0)
-			s.watchRefused(t.entry.Dest, telemetry.CauseRoom)
-			s.events = append(s.events, policy.Event{Kind: policy.EvWithdrawn, ID: t.entry.Num})
-			s.again = true
-			s.drop(m.call)
-			s.journal.End(m.Entry)
-			s.forget(m)
+			s.takeBack(m, telemetry.CauseRoom)
 			t.verdict <- Verdict{RetryAfter: s.busyRetry(), Short: true}
 		}
 	}
 	for _, call := range l.calls {
-		if go202 && s.calls[call] {
+		if go202 && s.calls[call] && !s.elsewhere(call) {
 			s.goWithLease(call)
 		} else {
 			s.drop(call)
@@ -559,6 +431,17 @@
 	}
 }
 
+// takeBack withdraws a message whose client hears that it is not taken on.
+func (s *Sender) takeBack(m *message, why telemetry.Cause) {
+	s.watchOver(m.Entry, telemetry.NotTaken, 0)
+	s.watchRefused(m.Dest, why)
+	s.events = append(s.events, policy.Event{Kind: policy.EvWithdrawn, ID: m.Num})
+	s.again = true
+	s.drop(m.call)
+	s.journal.End(m.Entry)
+	s.forget(m)
+}
+
 // goWithLease starts a call whose first byte goes out only while the lease on this sender's journal holds: it may wait
 // for its connection, or the process be stopped, until that is over.
 func (s *Sender) goWithLease(call *outbound.Call) {
@@ -585,6 +468,9 @@
 	for i := range c.lines {
 		wait = min(wait, time.Until(c.lines[i].till))
 	}
+	if at, due := s.shut.Next(); due {
+		wait = min(wait, millis(at-s.clock.Now()))
+	}
 	return wait
 }
 
--- /dev/null
+++ b/internal/sender/inherit.go
@@ -0,0 +1,187 @@
+package sender
+
+import (
+	"slices"
+	"time"
+
+	"sliptide/internal/fleet"
+	"sliptide/internal/fleet/copies"
+	"sliptide/internal/fleet/duty"
+	"sliptide/internal/fleet/pb"
+	"sliptide/internal/journal"
+)
+
+// This file takes over what a lost owner had: its copies are sealed and read, put into this sender's own journal and
+// copied, agreed on by the fleet, and only then sent.
+
+// ownerOf is the owner of a journal's duty; empty: it is none.
+func ownerOf(name string) string {
+	if n := len(duty.Own("")); len(name) > n {
+		return name[n:]
+	}
+	return ""
+}
+
+// clockShift is what moves a time of the owner's clock to this sender's, in milliseconds. Where no holder knows the
+// owner's clock any more, all machines' clocks are taken to agree, as after a restart of one's own.
+func (s *Sender) clockShift(h *heirOf) int64 {
+	ahead, known := h.Clock()
+	if !known {
+		s.log.Warn().Str("owner", h.Owner).Msg("copies: nobody knows the lost sender's clock: its deadlines go by this machine's")
+		return 0
+	}
+	return int64(s.clock.Now()) - fleet.Now()/1e6 - ahead
+}
+
+// inherit takes over what lost owners had whose duty this member holds.
+func (s *Sender) inherit(now int64, look *fleet.Look) {
+	c := s.copies
+	for owner, d := range look.Own {
+		if owner == c.set.Name || !look.Mine(d) || c.fleet.Held(d.Name) != d.Token || !c.live {
+			continue
+		}
+		h := c.heirs[owner]
+		if h == nil || h.Epoch != d.Token {
+			h = &heirOf{Heir: copies.NewHeir(owner, d.Token, d.Holders, look.Adopted[owner])}
+			c.heirs[owner] = h
+			s.log.Info().Str("owner", owner).Strs("holders", d.Holders).Msg("copies: taking over from a lost sender")
+		}
+		for _, o := range h.Take(now) {
+			c.fleet.SendCopy(o.To, o.Frame)
+		}
+		switch h.Look(look.Is) {
+		case copies.Ready:
+			s.bring(h, d)
+		case copies.Done:
+			delete(c.heirs, owner)
+			c.fleet.Leave(d.Name, false)
+		}
+	}
+}
+
+// bring puts what was found into this sender's own journal; once that is copied, the fleet is asked to agree.
+func (s *Sender) bring(h *heirOf, d *pb.Duty) {
+	c := s.copies
+	h.Stage, h.nums = copies.Copying, nil
+	shift := s.clockShift(h)
+	look := c.fleet.Look()
+	var keys []uint64
+	for _, e := range journal.Replay(h.Found.Records) {
+		if e.Origin != "" && duty.Agreed(look.Adopted[ownerOf(e.Origin)], e.Token).GetBy() != h.Owner {
+			continue // it was being taken over itself, and that was not agreed on
+		}
+		e.Num, e.Origin, e.Token = s.journal.Next(), d.Name, d.Token
+		e.Deadline += shift
+		if e.DoubtAt != 0 {
+			e.DoubtAt += shift
+		}
+		s.journal.Take(e)
+		c.pending[e.Num] = e
+		h.nums = append(h.nums, e.Num)
+		if k := keyHash([]byte(e.Key)); k != 0 && e.Sure && e.Ending == journal.NotEnding {
+			keys = append(keys, k)
+		}
+	}
+	s.bringHolds(h, shift)
+	s.again = true // they are written, and copied, by this very step: to as many as are left, where few are
+	c.lines = append(c.lines, copyLine{needed: max(min(c.most(), len(c.fleet.Look().Present)-1), 0), till: time.Now().Add(time.Second), done: func(kept bool) {
+		if !kept {
+			s.discard(h)
+			return
+		}
+		h.Stage = copies.Adopting
+		adopt := &pb.Adopt{Session: d.Session, Duty: d.Name, Token: d.Token, Incarnation: h.Found.Incarnation, Upto: h.Found.Upto, Keys: keys}
+		c.fleet.Ask(&pb.Command{What: &pb.Command_Adopt{Adopt: adopt}}, func(a *pb.Answer, err error) {
+			s.copyNews(copyNews{do: func() { s.adopted(h, a.GetKeys(), err) }})
+		})
+	}})
+}
+
+// discard gives up a try to take over; it begins again where the duty is still held.
+func (s *Sender) discard(h *heirOf) {
+	for _, num := range h.nums {
+		if e := s.copies.pending[num]; e != nil {
+			delete(s.copies.pending, num)
+			s.journal.End(e)
+		}
+	}
+	if s.copies.heirs[h.Owner] == h {
+		delete(s.copies.heirs, h.Owner)
+	}
+}
+
+// adopted takes what the fleet says of a taking over. Without a word, the look at what is agreed on tells.
+func (s *Sender) adopted(h *heirOf, elsewhere []uint64, err error) {
+	if err != nil {
+		s.log.Warn().Err(err).Str("owner", h.Owner).Msg("copies: the fleet has not agreed yet that these messages are taken over")
+		return // settlePending finds out
+	}
+	s.activate(h.Owner, h.Epoch, h.holds, elsewhere)
+	h.Stage = copies.Done
+}
+
+// activate makes the entries of an agreed taking over this sender's messages. Those with a key of elsewhere were handed
+// in again at another sender, which answers for them: they are given up by a notice about their old id, and not sent.
+func (s *Sender) activate(owner string, token uint64, holds []journal.Hold, elsewhere []uint64) {
+	n, sure, till := 0, 0, s.now
+	s.heed(holds)
+	for num, e := range s.copies.pending {
+		if ownerOf(e.Origin) != owner || e.Token != token {
+			continue
+		}
+		delete(s.copies.pending, num)
+		s.journal.Adopted(e)
+		n++
+		switch {
+		case e.Ending == journal.NotEnding && !e.Sure:
+			// Its client may have been refused: it is handed back, and never sent.
+			s.owe(e, journal.HandedBack, 0)
+		case e.Ending == journal.NotEnding && slices.Contains(elsewhere, keyHash([]byte(e.Key))):
+			s.owe(e, journal.GivenUp, 0)
+		default:
+			sure, till = sure+1, max(till, float64(e.Deadline))
+			s.restore(e)
+		}
+	}
+	s.keepShut(holds, till)
+	s.again = true
+	s.log.Info().Str("owner", owner).Int("messages", n).Int("sure", sure).Int("elsewhere", len(elsewhere)).Msg("copies: took over")
+}
+
+// settlePending finds out what came of takings over whose end this sender has not heard of, of an earlier life too.
+func (s *Sender) settlePending(look *fleet.Look) {
+	c := s.copies
+	if len(c.pending) == 0 || look.Session == 0 {
+		return
+	}
+	type try struct {
+		owner string
+		token uint64
+	}
+	open := map[try]bool{}
+	for _, e := range c.pending {
+		open[try{ownerOf(e.Origin), e.Token}] = true
+	}
+	for t := range open {
+		a, d, h := look.Adopted[t.owner], look.Own[t.owner], c.heirs[t.owner]
+		switch {
+		case duty.Agreed(a, t.token).GetBy() == c.set.Name:
+			var holds []journal.Hold
+			if h != nil && h.Epoch == t.token {
+				h.Stage, holds = copies.Done, h.holds
+			}
+			s.activate(t.owner, t.token, holds, duty.Agreed(a, t.token).Elsewhere)
+		case a != nil && a.Token > t.token, look.Mine(d) && d.Token > t.token, d != nil && !look.Mine(d), d == nil:
+			// The duty is another's now, or nobody's: it was not agreed on, and never will be.
+			for num, e := range c.pending {
+				if ownerOf(e.Origin) == t.owner && e.Token == t.token {
+					delete(c.pending, num)
+					s.journal.End(e)
+				}
+			}
+			if h != nil && h.Epoch == t.token {
+				delete(c.heirs, t.owner)
+			}
+		}
+	}
+}
--- a/internal/sender/lists.go
+++ b/internal/sender/lists.go
@@ -38,6 +38,7 @@
 	if err := s.out.Set(o.id, o.out); err != nil {
 		return err
 	}
+	s.holdByHand(o.id, o.out)
 	s.log.Info().Str("endpoint", o.id).Bool("out", o.out).Msg("endpoint taken out by hand, or put back")
 	if e, listed := s.addrs[id]; named && listed {
 		s.takeList(&discovery.List{Entries: []discovery.Endpoint{e}})
@@ -58,7 +59,8 @@
 		if e.State != policy.Gone {
 			s.addrs[e.ID] = e
 		}
-		e.State = s.out.State(e.Name, e.State)
+		s.holdListed(&e)
+		e.State = s.shut.State(e.Name, s.out.State(e.Name, e.State), s.now)
 		if s.partner != nil {
 			if p := s.partner(e.Dest); p != nil && p.HTTP2 {
 				e.Endpoint.Streams = s.streams
--- a/internal/sender/memory.go
+++ b/internal/sender/memory.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"sliptide/internal/discovery"
+	"sliptide/internal/journal"
 	"sliptide/internal/knowledge"
 	"sliptide/internal/knowledge/keeper"
 	"sliptide/internal/operator"
@@ -98,15 +99,16 @@
 
 // noteWait tells of a wait that was just heard.
 func (s *Sender) noteWait(c *outbound.Call, wait float64) {
-	if s.memory.Keeper == nil {
-		return
-	}
 	r := knowledge.Route{Dest: c.Dest}
 	if s.apart(c.Endpoint) {
 		r.Endpoint = s.addrs[c.Endpoint].Name
 	}
 	// Its end is rounded up: the partner counts from when its answer was written.
-	s.memory.Keeper.Wait(knowledge.Wait{Route: r, Told: int64(s.now), Until: int64(s.now+wait) + 1})
+	until := int64(s.now+wait) + 1
+	s.journal.Hold(journal.Hold{Kind: journal.HoldWait, Dest: r.Dest, Endpoint: r.Endpoint, Until: until}, int64(s.now))
+	if s.memory.Keeper != nil {
+		s.memory.Keeper.Wait(knowledge.Wait{Route: r, Told: int64(s.now), Until: until})
+	}
 }
 
 // apart reports whether an endpoint is a route of its own.
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -46,6 +46,7 @@
 	Dest       int
 	Item       uint64 // what it is about, for classes that keep their order; 0 = none
 	Again      bool
+	Orphan     bool          // again since its sender died or did not answer: an heir may have it
 	Left       time.Duration // how long it may still be delivered
 	Body       []byte
 	Parent     []byte // the trace context that the client sent, as it stands in its header; nil: none
@@ -56,6 +57,7 @@
 	Taken      bool
 	Num        uint64 // the sender's number, if taken
 	Known      bool   // not taken: another with this id was
+	Elsewhere  bool   // not taken: an heir has it from the sender that was lost
 	NoRoute    bool   // not taken: its destination has never been listed
 	Short      bool   // not taken: too few members can be reached to copy it
 	RetryAfter float64
@@ -97,6 +99,7 @@
 	*journal.Entry
 	call  *outbound.Call // that is out with it
 	cutAt float64        // when the attempt's time is up
+	claim *claim         // the fleet is asked whether an heir has it; nil: it need not be
 }
 
 // past knows the ids of messages that are over, for a while.
@@ -171,6 +174,7 @@
 	addrs   map[uint32]discovery.Endpoint // as listed, without what was said by hand
 	names   map[string]uint32             // every endpoint that a list has named
 	out     operate.Out
+	shut    operate.Shut               // endpoints that a lost sender kept away from, whose messages are this one's
 	classes atomic.Pointer[classTable] // shared with intake
 	heir    bool
 	waiting []discovery.List // lists that an heir holds back
--- a/policy/facts.go
+++ b/policy/facts.go
@@ -155,6 +155,25 @@
 	s.recalled = map[int]*DestFacts{}
 	for i := range list {
 		s.recalled[list[i].Dest] = &list[i]
+		s.bind(&list[i])
+	}
+}
+
+// bind makes waits that were told to another sender, whose messages this one takes over, binding where the
+// destination is known already.
+func (s *Sender) bind(f *DestFacts) {
+	d := s.dests[f.Dest]
+	if d == nil {
+		return
+	}
+	if d.shared != nil && f.Shared != nil {
+		d.shared.waitUntil = max(d.shared.waitUntil, f.Shared.WaitUntil)
+	}
+	for _, ep := range d.eps {
+		i := slices.IndexFunc(f.Endpoints, func(e EndpointFacts) bool { return e.ID == ep.id })
+		if i >= 0 && f.Endpoints[i].Apart != nil && ep.route != d.shared {
+			ep.route.waitUntil = max(ep.route.waitUntil, f.Endpoints[i].Apart.WaitUntil)
+		}
 	}
 }
 
