--- a/internal/fleet/copies/heir.go
+++ b/internal/fleet/copies/heir.go
@@ -31,13 +31,15 @@
 	asked  map[string]bool
 	heard  map[string]bool
 	nextAt int64
-	clock  Reckoning // of the owner's clock, by what the holders reckon
+	// Of the owner's clock, by what the holders reckon: as if they had answered when they were asked, and as if when
+	// their answers came.
+	asOf, asCame Reckoning
 }
 
 // NewHeir begins to take over: holders are all that the fleet has agreed on, adopted is the owner's last adoption, nil
 // if there was none. What was kept before that is its heir's.
 func NewHeir(owner string, epoch uint64, holders []string, adopted *pb.Adoption) *Heir {
-	h := &Heir{Owner: owner, Epoch: epoch, void: adopted.GetToken(), asked: map[string]bool{}, heard: map[string]bool{}, clock: NewReckoning()}
+	h := &Heir{Owner: owner, Epoch: epoch, void: adopted.GetToken(), asked: map[string]bool{}, heard: map[string]bool{}, asOf: NewReckoning(), asCame: NewReckoning()}
 	for _, name := range holders {
 		h.asked[name] = true
 	}
@@ -65,26 +67,31 @@
 }
 
 // Sealed takes a holder's answer.
-func (h *Heir) Sealed(from string, s *pb.Sealed) {
+func (h *Heir) Sealed(now int64, from string, s *pb.Sealed) {
 	if s.Owner != h.Owner || s.Epoch != h.Epoch || !h.asked[from] || h.Stage != Sealing {
 		return
 	}
 	h.heard[from] = true
 	if s.Have && s.From > h.void && (h.Found == nil || s.From > h.Found.From || s.From == h.Found.From && s.Seq > h.Found.Seq) {
 		if h.Found == nil || s.From > h.Found.From {
-			h.clock = NewReckoning() // an earlier epoch's clock is another process's
+			h.asOf, h.asCame = NewReckoning(), NewReckoning() // an earlier epoch's clock is another process's
 		}
 		h.Found = s
 	}
-	// Counted from when it was asked: the deadlines come out early by the answer's way, and never late by it.
 	if s.Have && s.Clock != 0 && h.Found != nil && s.From == h.Found.From {
-		h.clock.Heard(s.At, s.Clock)
+		h.asOf.Heard(s.At, s.Clock)
+		h.asCame.Heard(now, s.Clock)
 	}
 }
 
-// Clock is by how much the owner's clock, in Unix milliseconds, is ahead of the caller's monotonic one; false: no holder
-// knows, as all of them were started anew since.
-func (h *Heir) Clock() (ahead int64, known bool) { return h.clock.Ahead() }
+// Clock is by how much the owner's clock, in Unix milliseconds, is ahead of the caller's monotonic one: for deadlines,
+// which must not come out late by the time that holders took to answer, and for waits, which must not come out early by
+// it; false: no holder knows, as all of them were started anew since.
+func (h *Heir) Clock() (deadlines, waits int64, known bool) {
+	deadlines, known = h.asOf.Ahead()
+	waits, _ = h.asCame.Ahead()
+	return deadlines, waits, known
+}
 
 // Look goes on once every holder has answered whose session goes on. One whose session is over is lost, too: what it
 // alone has is lost with it, as is promised for more losses than there are copies.
--- a/internal/sender/copies.go
+++ b/internal/sender/copies.go
@@ -154,7 +154,7 @@
 			c.owner.Copied(now, n.from, n.frame.GetCopied())
 		case n.frame.GetSealed() != nil:
 			if h := c.heirs[n.frame.GetSealed().Owner]; h != nil {
-				h.Sealed(n.from, n.frame.GetSealed())
+				h.Sealed(now, n.from, n.frame.GetSealed())
 			}
 		}
 	}
--- a/internal/sender/inherit.go
+++ b/internal/sender/inherit.go
@@ -22,15 +22,17 @@
 	return ""
 }
 
-// clockShift is what moves a time of the owner's clock to this sender's, in milliseconds. Where no holder knows the
-// owner's clock any more, all machines' clocks are taken to agree, as after a restart of one's own.
-func (s *Sender) clockShift(h *heirOf) int64 {
-	ahead, known := h.Clock()
+// shifts is what moves times of the owner's clock to this sender's, in milliseconds: deadlines rather too early, waits
+// rather too late. Where no holder knows the owner's clock any more, all machines' clocks are taken to agree, as after a
+// restart of one's own.
+func (s *Sender) shifts(h *heirOf) (deadlines, waits int64) {
+	soon, late, known := h.Clock()
 	if !known {
 		s.log.Warn().Str("owner", h.Owner).Msg("copies: nobody knows the lost sender's clock: its deadlines go by this machine's")
-		return 0
+		return 0, 0
 	}
-	return int64(s.clock.Now()) - fleet.Now()/1e6 - ahead
+	own := int64(s.clock.Now()) - fleet.Now()/1e6
+	return own - soon, own - late
 }
 
 // inherit takes over what lost owners had whose duty this member holds.
@@ -63,7 +65,7 @@
 func (s *Sender) bring(h *heirOf, d *pb.Duty) {
 	c := s.copies
 	h.Stage, h.nums = copies.Copying, nil
-	shift := s.clockShift(h)
+	shift, waits := s.shifts(h)
 	look := c.fleet.Look()
 	var keys []uint64
 	for _, e := range journal.Replay(h.Found.Records) {
@@ -82,7 +84,7 @@
 			keys = append(keys, k)
 		}
 	}
-	s.bringHolds(h, shift)
+	s.bringHolds(h, waits)
 	s.again = true // they are written, and copied, by this very step: to as many as are left, where few are
 	c.lines = append(c.lines, copyLine{needed: max(min(c.most(), len(c.fleet.Look().Present)-1), 0), till: time.Now().Add(time.Second), done: func(kept bool) {
 		if !kept {
