Copies at 30 and 300 senders in the emulator; an example that loses a machine

Change: TestSizes runs the model of copies with 30 and 300 members in three zones (make copies-size); make copies starts three senders, kills one with its folder while the partner is down, and counts.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint fuzz crash h2-chaos storms telemetry duties duties-faults duties-gaps copies-faults copies-price fleet measure bench generate run toy clean
+.PHONY: build test lint fuzz crash h2-chaos storms telemetry duties duties-faults duties-gaps copies-faults copies-size copies-price fleet copies measure bench generate run toy clean
 
 build: ## the program and the simulator's adapter, into bin/
 	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
@@ -41,9 +41,12 @@
 duties-gaps: ## how long a duty has no holder, 100 faults of each kind, and what an idle fleet costs (about ten minutes)
 	SLIPTIDE_MEASURE=1 SLIPTIDE_FAULTS=100 go test ./internal/fleet -run TestMeasure -parallel 4 -count=1 -timeout 60m -v | grep -E '_test|ok|FAIL'
 
-copies-faults: ## 1,000 losses of a machine with its disk, five programs under load, five teams side by side (about half an hour)
+copies-faults: ## 1,000 losses of a machine with its disk under load and link faults, five programs a team (about ten minutes)
 	SLIPTIDE_LOSSES=1000 SLIPTIDE_MEASURE=1 go test ./cmd/sliptide -run TestLosses -parallel 5 -count=1 -timeout 120m -v | grep -E '_test|ok|FAIL'
 
+copies-size: ## a zone lost, a tenth lost and a rolling restart of 30 and 300 members in the emulator (about two minutes)
+	SLIPTIDE_MEASURE=1 go test ./internal/fleet/copies -run TestSizes -count=1 -timeout 30m -v | grep -E 'members|FAIL'
+
 copies-price: ## what copies cost: the 202, the delivery and the processor, off and on (about two minutes)
 	SLIPTIDE_MEASURE=1 go test ./cmd/sliptide -run TestMeasureCopies -parallel 1 -count=1 -timeout 30m -v | grep -E '_test|PASS|FAIL'
 
@@ -66,6 +69,9 @@
 fleet: build ## three senders of one fleet and a toy partner that goes down now and then, in this terminal
 	go run ./example/fleet
 
+copies: build ## three senders that copy what they take on; one is killed and its folder removed, and nothing is lost
+	go run ./example/fleet -lose
+
 toy:
 	go run ./example/toy
 
--- a/cmd/sliptide/losses_test.go
+++ b/cmd/sliptide/losses_test.go
@@ -451,12 +451,13 @@
 	defer l.mu.Unlock()
 	was := &l.at[k]
 	l.blows = append(l.blows, time.Now())
-	was.lost, was.inherits, was.left = time.Now(), false, map[string]bool{}
+	was.lost, was.left = time.Now(), map[string]bool{}
 	for id := range l.handed {
 		if origin(id) == k && l.effects[id] == 0 && len(ends[id]) == 0 {
 			was.left[id] = true
 		}
 	}
+	was.inherits = len(was.left) == 0 // nothing is waited for
 }
 
 // killHeir kills the process of who takes over from a lost sender, at some step of it, and starts it again.
--- a/example/fleet/main.go
+++ b/example/fleet/main.go
@@ -3,11 +3,18 @@
 // fleet's duties do; Ctrl-C ends all of it.
 //
 //	make fleet
+//
+// With -lose the senders copy what they take on. One of them is killed, and its folder removed, while the partner is down;
+// when the time of all is over, the example counts what was taken on and what became of it, and ends.
+//
+//	make copies
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"log"
@@ -17,6 +24,7 @@
 	"os/signal"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -24,6 +32,8 @@
 const dest = 7
 
 func main() {
+	lose := flag.Bool("lose", false, "kill a sender and remove its folder, and count what became of its messages")
+	flag.Parse()
 	dir, err := os.MkdirTemp("", "sliptide-fleet")
 	if err != nil {
 		log.Fatal(err)
@@ -33,6 +43,9 @@
 	go func() { log.Fatal(http.ListenAndServe("127.0.0.1:9100", partner(&down))) }()
 	go func() { log.Fatal(http.ListenAndServe("127.0.0.1:8500", discovery())) }()
 	operator := filepath.Join("example", "fleet", "sliptide.xml")
+	if *lose {
+		operator = filepath.Join("example", "fleet", "copies.xml")
+	}
 	var senders []*exec.Cmd
 	for i := range 3 {
 		senders = append(senders, start(dir, operator, i))
@@ -40,7 +53,11 @@
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, os.Interrupt)
 	go load()
-	go outages(&down)
+	if *lose {
+		go loss(senders[2], filepath.Join(dir, "n2"), &down, stop)
+	} else {
+		go outages(&down)
+	}
 	fmt.Printf("ask it:  bin/sliptide fleet status --operator %s\n         bin/sliptide fleet duties --operator %s\n", operator, operator)
 	fmt.Println("kill one: the pids are", senders[0].Process.Pid, senders[1].Process.Pid, senders[2].Process.Pid)
 	<-stop
@@ -99,7 +116,7 @@
 		}
 		d.rest = rest
 		var l struct{ Message, Duty string }
-		if json.Unmarshal(line, &l) == nil && strings.HasPrefix(l.Message, "fleet: ") && !strings.Contains(l.Message, "link") {
+		if json.Unmarshal(line, &l) == nil && (strings.HasPrefix(l.Message, "fleet: ") || strings.HasPrefix(l.Message, "copies: ")) && !strings.Contains(l.Message, "link") {
 			log.Printf("%s %s %s", d.name, l.Message, l.Duty)
 		}
 	}
@@ -110,10 +127,68 @@
 		io.Copy(io.Discard, r.Body)
 		if down.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
+			return
 		}
+		book.note(book.ended, r.Header.Get("X-Trace-Id"))
 	})
 }
 
+// ledger is what became of each message.
+type ledger struct {
+	sync.Mutex
+	taken, ended map[string]bool
+}
+
+var book = ledger{taken: map[string]bool{}, ended: map[string]bool{}}
+
+func (l *ledger) note(list map[string]bool, id string) {
+	l.Lock()
+	defer l.Unlock()
+	list[id] = true
+}
+
+// count is how many were taken on, and how many of these have no final answer.
+func (l *ledger) count() (taken, open int) {
+	l.Lock()
+	defer l.Unlock()
+	for id := range l.taken {
+		if !l.ended[id] {
+			open++
+		}
+	}
+	return len(l.taken), open
+}
+
+// loss loses a machine while it holds messages, and tells what became of them.
+func loss(s *exec.Cmd, folder string, down *atomic.Bool, stop chan<- os.Signal) {
+	time.Sleep(8 * time.Second)
+	down.Store(true)
+	time.Sleep(3 * time.Second)
+	s.Process.Kill()
+	s.Wait()
+	if err := os.RemoveAll(folder); err != nil {
+		log.Print(err)
+	}
+	taken, open := book.count()
+	log.Printf("n2 is killed and its folder removed; %d messages were taken on so far, %d of them have no final answer yet", taken, open)
+	time.Sleep(time.Second)
+	down.Store(false)
+	log.Print("the partner is back")
+	time.Sleep(6 * time.Second)
+	quiet.Store(true)
+	for range 200 {
+		if taken, open = book.count(); open == 0 {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	log.Printf("%d messages were taken on, %d have no final answer", taken, open)
+	stop <- os.Interrupt
+}
+
+// quiet ends the load.
+var quiet atomic.Bool
+
 func outages(down *atomic.Bool) {
 	for {
 		time.Sleep(20 * time.Second)
@@ -129,7 +204,12 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
 		case r.Method == http.MethodPost:
-			io.Copy(io.Discard, r.Body)
+			for lines := bufio.NewScanner(r.Body); lines.Scan(); {
+				var n struct{ Message string }
+				if json.Unmarshal(lines.Bytes(), &n) == nil {
+					book.note(book.ended, n.Message)
+				}
+			}
 			w.WriteHeader(http.StatusNoContent)
 		case r.FormValue("index") == "1":
 			wait, _ := time.ParseDuration(r.FormValue("wait") + "ms")
@@ -146,7 +226,7 @@
 
 // load hands in ten messages a second, to the senders in turn.
 func load() {
-	for n := 0; ; n++ {
+	for n := 0; !quiet.Load(); n++ {
 		time.Sleep(100 * time.Millisecond)
 		q, err := http.NewRequest("POST", fmt.Sprintf("http://127.0.0.1:%d/api", 9000+n%3), strings.NewReader("two guests, one night"))
 		if err != nil {
@@ -159,6 +239,9 @@
 		if resp, err := http.DefaultClient.Do(q); err == nil {
 			io.Copy(io.Discard, resp.Body)
 			resp.Body.Close()
+			if resp.StatusCode == http.StatusAccepted {
+				book.note(book.taken, fmt.Sprintf("%016x", n))
+			}
 		}
 	}
 }
--- a/internal/fleet/copies/model_test.go
+++ b/internal/fleet/copies/model_test.go
@@ -1,6 +1,7 @@
 package copies
 
 import (
+	"encoding/binary"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -42,12 +43,16 @@
 )
 
 // record is one record of the model's journal, of a fixed size.
-const recordSize = 6
+const recordSize = 1 + 4 + 4 + 4 + 4
 
 func record(op byte, e *entry) []byte {
-	b := []byte{op, byte(e.num), byte(e.msg), 0, byte(e.token >> 8), byte(e.token)}
+	b := []byte{op}
+	owner := 0
 	if e.pending != "" {
-		b[3] = e.pending[len(e.pending)-1]
+		owner, _ = strconv.Atoi(e.pending[len(duty.Own("m")):])
+	}
+	for _, v := range []int{int(e.num), e.msg, owner, int(e.token)} {
+		b = binary.BigEndian.AppendUint32(b, uint32(v))
 	}
 	return b
 }
@@ -65,7 +70,8 @@
 // live is what a journal's records come to.
 func live(records []byte) (list []entry) {
 	for ; len(records) >= recordSize; records = records[recordSize:] {
-		num, msg := uint64(records[1]), int(records[2])
+		at := func(i int) uint64 { return uint64(binary.BigEndian.Uint32(records[1+4*i:])) }
+		num, msg := at(0), int(at(1))
 		k := slices.IndexFunc(list, func(e entry) bool { return e.num == num })
 		if records[0] == opTaken && k < 0 {
 			list = append(list, entry{num: num, msg: msg})
@@ -81,7 +87,7 @@
 		case opEnd:
 			list = slices.Delete(list, k, k+1)
 		case opPend:
-			list[k].pending, list[k].token = duty.Own("m"+string(rune(records[3]))), uint64(records[4])<<8|uint64(records[5])
+			list[k].pending, list[k].token = duty.Own(fmt.Sprint("m", at(2))), at(3)
 		case opOwn:
 			list[k].pending = ""
 		}
@@ -136,7 +142,9 @@
 
 type member struct {
 	w           *world
+	n           int
 	name        string
+	zone        string
 	up          bool
 	stopped     int64
 	cutUntil    int64
@@ -188,7 +196,19 @@
 	guards  guards
 	adopted int
 	over    []partnerEnd
-	twice   int // heirs lost with their disks, each of which may have given a notice whose record was not copied yet
+	byName  map[string]*member
+	list    []*pb.Duty // the duties of that version of the state
+	version uint64
+	every   int  // steps between two looks of a member at the fleet
+	most    int  // messages of a run
+	share   int  // one in so many steps brings a message
+	down    bool // every call fails
+	inOrder bool
+	steps   int
+	resets  int64          // bytes that were copied anew, and
+	copied  int64          // in batches
+	heirs   map[string]int // messages taken over, by heir
+	twice   int            // heirs lost with their disks, each of which may have given a notice whose record was not copied yet
 }
 
 // partnerEnd is the end of an attempt at the partner, whatever becomes of its answer.
@@ -219,10 +239,11 @@
 }
 
 func newWorld(seed uint64, members, count, needed int, g guards) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 9)), state: duty.New(nil), count: count, needed: needed, guards: g}
+	w := &world{rng: rand.New(rand.NewPCG(seed, 9)), state: duty.New(nil), count: count, needed: needed, guards: g, byName: map[string]*member{},
+		every: 1, most: 250, share: 8, heirs: map[string]int{}}
 	for i := range members {
-		m := &member{w: w, name: fmt.Sprint("m", i), incarnation: uint64(i + 1)}
-		w.members = append(w.members, m)
+		m := &member{w: w, n: i, name: fmt.Sprint("m", i), incarnation: uint64(i + 1)}
+		w.members, w.byName[m.name] = append(w.members, m), m
 		m.start()
 	}
 	return w
@@ -233,13 +254,14 @@
 	return w.state.Apply(w.index, 1, c)
 }
 
-func (w *world) member(name string) *member {
-	for _, m := range w.members {
-		if m.name == name {
-			return m
-		}
+func (w *world) member(name string) *member { return w.byName[name] }
+
+// duties are all duties, by name.
+func (w *world) duties() []*pb.Duty {
+	if v := w.state.Version(); v != w.version || w.list == nil {
+		w.list, w.version = w.state.Duties(), v
 	}
-	return nil
+	return w.list
 }
 
 func (m *member) start() {
@@ -270,7 +292,7 @@
 func (m *member) valid() bool { return m.session != 0 && m.w.now-m.sent < leaseHold }
 
 func (m *member) mine() *pb.Duty {
-	for _, d := range m.w.state.Duties() {
+	for _, d := range m.w.duties() {
 		if d.Name == duty.Own(m.name) && d.Session == m.session && m.session != 0 {
 			return d
 		}
@@ -280,8 +302,9 @@
 
 func (w *world) step() {
 	w.now += tick
+	w.steps++
 	for _, m := range w.members {
-		if m.reaches() {
+		if m.reaches() && (w.steps+m.n)%w.every == 0 {
 			m.fleet()
 		}
 	}
@@ -324,7 +347,9 @@
 			m.work()
 		}
 	}
-	w.judge(false)
+	if w.steps%w.every == 0 {
+		w.judge(false)
+	}
 }
 
 func (w *world) send(from *member, list []Out) {
@@ -332,12 +357,25 @@
 		if w.loss && w.rng.IntN(4) == 0 {
 			continue
 		}
+		if c := o.Frame.GetCopy(); c.GetReset_() {
+			w.resets += int64(len(c.Records))
+		} else if c != nil {
+			w.copied += int64(len(c.Records))
+		}
 		if to := w.member(o.To); to != nil {
-			w.frames = append(w.frames, frame{w.now + w.rng.Int64N(int64(30*time.Millisecond)), from, to, o.Frame})
+			w.frames = append(w.frames, frame{w.now + w.delay(), from, to, o.Frame})
 		}
 	}
 }
 
+// delay is how long a frame takes. Frames overtake each other, but where links are as the program's are.
+func (w *world) delay() int64 {
+	if w.inOrder {
+		return int64(10 * time.Millisecond)
+	}
+	return w.rng.Int64N(int64(30 * time.Millisecond))
+}
+
 // fleet is a member's part in the agreement: its session, its own duty, and those of the owners that it keeps.
 func (m *member) fleet() {
 	w := m.w
@@ -346,7 +384,7 @@
 			m.session = 0
 			m.owner.Begin(0)
 		}
-		r := w.apply(&pb.Command{What: &pb.Command_Open{Open: &pb.Open{Member: m.name, Incarnation: m.incarnation, Boot: m.boot, Seq: w.index}}})
+		r := w.apply(&pb.Command{What: &pb.Command_Open{Open: &pb.Open{Member: m.name, Incarnation: m.incarnation, Boot: m.boot, Seq: w.index, Zone: m.zone}}})
 		if r.Err != nil {
 			return
 		}
@@ -354,7 +392,7 @@
 	}
 	m.contact, m.sent = w.now, w.now
 	w.apply(&pb.Command{What: &pb.Command_Acquire{Acquire: &pb.Acquire{Session: m.session, Duty: duty.Own(m.name)}}})
-	for _, d := range w.state.Duties() {
+	for _, d := range w.duties() {
 		if d.Name != duty.Own(m.name) && slices.Contains(d.Holders, m.name) {
 			w.apply(&pb.Command{What: &pb.Command_Acquire{Acquire: &pb.Acquire{Session: m.session, Duty: d.Name}}})
 		}
@@ -388,7 +426,7 @@
 		there = append(there, placement.Member{Name: p.Name, Zone: p.Zone})
 		present[p.Name] = true
 	}
-	wanted := placement.Choose(m.name, "", w.count, there)
+	wanted := placement.Choose(m.name, m.zone, w.count, there)
 	next := placement.Next(d.Holders, wanted, m.owner.Synced, func(n string) bool { return present[n] })
 	if !slices.Equal(next, d.Holders) {
 		w.apply(&pb.Command{What: &pb.Command_Keep{Keep: &pb.Keep{Session: m.session, Duty: d.Name, Token: d.Token, Holders: next}}})
@@ -399,7 +437,7 @@
 // inherit takes over what lost owners had.
 func (m *member) inherit() {
 	w := m.w
-	for _, d := range w.state.Duties() {
+	for _, d := range w.duties() {
 		owner := d.Name[len(duty.Own("")):]
 		if owner == m.name || d.Session != m.session {
 			continue
@@ -474,6 +512,7 @@
 			continue
 		}
 		e.pending = ""
+		m.w.heirs[m.name]++
 		m.append(record(opOwn, e))
 		if l := m.w.msgs[e.msg]; slices.Contains(elsewhere, l.key()) {
 			m.w.notice(l, m.name+" leaves it to another")
@@ -660,7 +699,7 @@
 	}
 	l := m.w.msgs[e.msg]
 	e.out = false
-	if m.w.rng.IntN(4) < 3 && !l.unsafe { // it failed, and may have run
+	if (m.w.rng.IntN(4) < 3 || m.w.down) && !l.unsafe { // it failed, and may have run
 		return
 	}
 	l.ended++
@@ -670,7 +709,7 @@
 
 // hand hands a message in at a member.
 func (w *world) hand(m *member, unsafe bool) {
-	if !m.runs() || !m.valid() || m.owner.Epoch() == 0 || len(w.msgs) > 250 {
+	if !m.runs() || !m.valid() || m.owner.Epoch() == 0 || len(w.msgs) > w.most {
 		return
 	}
 	l := &ledger{unsafe: unsafe}
@@ -681,7 +720,7 @@
 // again hands a message in again whose sender is lost with its disk, as its client may: not one that may have run
 // where its class forbids repeats.
 func (w *world) again(m *member) {
-	if !m.reaches() || !m.valid() || m.owner.Epoch() == 0 || len(w.msgs) > 250 {
+	if !m.reaches() || !m.valid() || m.owner.Epoch() == 0 || len(w.msgs) > w.most {
 		return
 	}
 	for _, l := range w.msgs {
@@ -823,7 +862,7 @@
 }
 
 func (w *world) traffic() {
-	if w.rng.IntN(8) == 0 {
+	if w.rng.IntN(w.share) == 0 {
 		w.hand(w.members[w.rng.IntN(len(w.members))], w.rng.IntN(2) == 0)
 	}
 	if w.rng.IntN(4) == 0 {
