--- a/cmd/sliptide/fleet_test.go
+++ b/cmd/sliptide/fleet_test.go
@@ -15,16 +15,18 @@
 	"time"
 
 	"sliptide/internal/fleet/voter"
+	"sliptide/internal/standin"
 )
 
 // team is three senders of one fleet, each with its platform, and one partner, destination 5, that all of them
 // call.
 type team struct {
-	t     *testing.T
-	rigs  []*rig
-	addrs []string // where each takes links
-	more  string   // what else the fleet's element holds
-	xml   string
+	t      *testing.T
+	rigs   []*rig
+	relays map[[2]int]*standin.Relay // of links, by who dials and who is dialled; only where each has one
+	addrs  []string                  // where each takes links
+	more   string                    // what else the fleet's element holds
+	xml    string
 
 	mu    sync.Mutex
 	down  bool
@@ -78,6 +80,7 @@
 	for i := range n {
 		r := makeRig(t, m.xml, func(settings, _ map[string]any) {
 			settings["balancers"] = 3
+			settings["family_info"].(map[string]any)["kind_batch"] = []int{1, 10}
 			settings["limits"].(map[string]any)["max_attempts"] = 100 // a partner that is down must not use them up
 			settings["services"] = append(settings["services"].([]any), map[string]any{"name": "pay", "aim": 2000, "deadline": 20000, "effect": "unsafe", "worth": 2, "late_worth": 0.4})
 		})
@@ -107,6 +110,32 @@
 	return `<storms enabled="true"/><fleet enabled="true"` + listen + `>` + members.String() + `<duties lease="1s" election="300ms"/>` + m.more + `</fleet>`
 }
 
+// relayed gives a sender's rig an operators' file by which each other member is behind a relay.
+func (m *team) relayed(i int, r *rig) {
+	if m.relays == nil {
+		m.relays = map[[2]int]*standin.Relay{}
+	}
+	r.operate(m.file(func(k int) string {
+		if k == i {
+			return m.addrs[k]
+		}
+		relay, err := standin.NewRelay(m.addrs[k])
+		if err != nil {
+			m.t.Fatal(err)
+		}
+		m.t.Cleanup(relay.Close)
+		m.relays[[2]int{i, k}] = relay
+		return relay.Addr()
+	}, ""))
+}
+
+// links does something to the relays between two members.
+func (m *team) links(a, b int, do func(*standin.Relay)) {
+	for _, k := range [][2]int{{a, b}, {b, a}} {
+		do(m.relays[k])
+	}
+}
+
 // partner breaks each call off while it is down. It knows the sender by the message's name.
 func (m *team) partner(w http.ResponseWriter, q *http.Request) {
 	sender, _, _ := strings.Cut(q.Header.Get("X-Trace-Id"), "-")
--- a/internal/fleet/copies/copies.go
+++ b/internal/fleet/copies/copies.go
@@ -25,6 +25,7 @@
 const (
 	resendAfter = int64(120 * time.Millisecond) // without an answer for so long, all is sent again
 	scrubEvery  = int64(10 * time.Second)       // between two sums of all that is live
+	fullFor     = int64(2 * time.Second)        // a holder that had no room is asked again after so long
 )
 
 // Out is a frame for a member.
@@ -43,6 +44,7 @@
 	seq         uint64
 	upto        uint64
 	peers       map[string]*peer
+	full        map[string]int64 // members that had no room, and when they said so
 	out         []Out
 	scrubAt     int64
 	ahead       int64 // the owner's clock in Unix milliseconds, less the caller's monotonic one
@@ -58,7 +60,7 @@
 
 // NewOwner returns the owner of a member's journal, which copies nothing until Begin.
 func NewOwner(name string, incarnation uint64) *Owner {
-	return &Owner{name: name, incarnation: incarnation, peers: map[string]*peer{}}
+	return &Owner{name: name, incarnation: incarnation, peers: map[string]*peer{}, full: map[string]int64{}}
 }
 
 // Begin starts an epoch: the duty is held with that token. Every holder is brought everything anew. 0 ends it.
@@ -153,7 +155,7 @@
 		p.reset, p.acked = 0, 0 // the epoch is over: the duty is another's, or soon will be known to be
 		p.sentAt = now
 	case a.Full:
-		p.full = true
+		p.full, o.full[from] = true, now
 	case a.Again:
 		p.reset = 0
 	default:
@@ -187,13 +189,16 @@
 	return p != nil && p.reset != 0 && p.acked >= p.reset && !p.full
 }
 
-// Full are the holders that have no room.
-func (o *Owner) Full() (names []string) {
-	for _, name := range o.names() {
-		if o.peers[name].full {
-			names = append(names, name)
+// Full are the members that had no room of late, holders or not any more.
+func (o *Owner) Full(now int64) (names []string) {
+	for name, at := range o.full {
+		if now-at > fullFor {
+			delete(o.full, name)
+			continue
 		}
+		names = append(names, name)
 	}
+	slices.Sort(names)
 	return names
 }
 
@@ -212,6 +217,9 @@
 		var c *pb.Copy
 		for _, name := range o.names() {
 			p := o.peers[name]
+			if p.full && now-o.full[name] > fullFor { // it may have room by now: all of it is sent
+				*p = peer{}
+			}
 			late := p.acked < p.waits && now-p.sentAt > resendAfter
 			if p.full || p.reset != 0 && !late || p.reset == 0 && p.sentAt != 0 && now-p.sentAt <= resendAfter {
 				continue
@@ -233,11 +241,16 @@
 
 // Next is when Take may have something by time alone; false: never.
 func (o *Owner) Next() (at int64, due bool) {
-	for _, p := range o.peers {
-		if o.epoch != 0 && !p.full && (p.acked < p.waits || p.reset == 0) {
-			if t := p.sentAt + resendAfter + 1; !due || t < at {
-				at, due = t, true
-			}
+	for name, p := range o.peers {
+		t := p.sentAt + resendAfter + 1
+		switch {
+		case o.epoch == 0 || !p.full && p.acked >= p.waits && p.reset != 0:
+			continue
+		case p.full:
+			t = o.full[name] + fullFor + 1
+		}
+		if !due || t < at {
+			at, due = t, true
 		}
 	}
 	return at, due
--- a/internal/fleet/copies/scrub_test.go
+++ b/internal/fleet/copies/scrub_test.go
@@ -45,3 +45,36 @@
 		t.Errorf("an older epoch: %v", a)
 	}
 }
+
+// TestFullIsNotForEver: a holder that had no room is asked again after a while, and until then counts as full for the
+// choice of holders, also where it is none any more.
+func TestFullIsNotForEver(t *testing.T) {
+	o := NewOwner("a", 1)
+	o.Begin(3)
+	o.Holders([]string{"b"})
+	snapshot := func() []byte { return dump([]entry{{num: 1, msg: 1}}) }
+	if out := o.Take(1, snapshot); len(out) != 1 {
+		t.Fatalf("%d frames", len(out))
+	}
+	o.Copied(2, "b", &pb.Copied{Owner: "a", Epoch: 3, Full: true})
+	o.Holders(nil)
+	if list := o.Full(3); len(list) != 1 {
+		t.Errorf("full: %v", list)
+	}
+	o.Holders([]string{"b"})
+	o.Copied(4, "b", &pb.Copied{Owner: "a", Epoch: 3, Full: true})
+	if out := o.Take(4+fullFor, snapshot); len(out) != 0 {
+		t.Errorf("it is asked again at once")
+	}
+	if at, due := o.Next(); !due || at != 4+fullFor+1 {
+		t.Errorf("next at %d, %v", at, due)
+	}
+	out := o.Take(5+fullFor, snapshot)
+	if len(out) != 1 || !out[0].Frame.GetCopy().Reset_ {
+		t.Fatalf("it is not asked again: %v", out)
+	}
+	o.Copied(6+fullFor, "b", &pb.Copied{Owner: "a", Epoch: 3, Seq: out[0].Frame.GetCopy().Seq})
+	if len(o.Full(6+fullFor)) != 0 || !o.Synced("b") {
+		t.Error("it has room and everything, and counts as full")
+	}
+}
--- a/internal/sender/copies.go
+++ b/internal/sender/copies.go
@@ -212,7 +212,7 @@
 // placeCopies asks the fleet for other holders where the members ask for them.
 func (s *Sender) placeCopies(look *fleet.Look, d *pb.Duty) {
 	c := s.copies
-	full := c.owner.Full()
+	full := c.owner.Full(fleet.Now())
 	var there []placement.Member
 	for _, p := range look.Present {
 		there = append(there, placement.Member{Name: p.Name, Zone: p.Zone, Full: slices.Contains(full, p.Name)})
