sliptide fleet copies tells each sender's lag, what waits, what fell short and what is left to copy

Also the model keeps the calls of what an owner that is back still has: two of the enumerated runs lost a message in the model alone.

--- a/cmd/sliptide/copies_test.go
+++ b/cmd/sliptide/copies_test.go
@@ -62,7 +62,7 @@
 	defer close(stop)
 	m.drain(stop)
 	m.copying()
-	if out, errs, code := command(t, "fleet", "copies", "--operator", m.rigs[0].operator); code != 0 || strings.Count(out, "copied") != 4 {
+	if out, errs, code := command(t, "fleet", "copies", "--operator", m.rigs[0].operator); code != 0 || strings.Count(out, "copied") != 4 || strings.Count(out, "batches") != 4 {
 		t.Errorf("fleet copies: status %d\n%s%s", code, out, errs)
 	}
 	m.set(true)
--- a/cmd/sliptide/fleet.go
+++ b/cmd/sliptide/fleet.go
@@ -115,7 +115,7 @@
 	}
 	o := fleet.Options{Settings: m.set, Files: m.files, Room: m.room, Log: m.log, Watch: m.heard}
 	if m.keep.Enabled {
-		o.CopyRoom, o.KeepRoom, o.Copied, o.Changed = m.keep.Room, m.space.Account(), m.snd.CopyNews, m.snd.Kick
+		o.CopyRoom, o.KeepRoom, o.Copied, o.Changed, o.CopyStatus = m.keep.Room, m.space.Account(), m.snd.CopyNews, m.snd.Kick, m.snd.CopyStatus
 	}
 	m.member, err = fleet.Open(o, ln)
 	if err != nil {
--- a/cmd/sliptide/losses_test.go
+++ b/cmd/sliptide/losses_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -605,3 +606,84 @@
 	t.Logf("202: p50 %.1f ms, p99 %.1f ms; delivery: p50 %.1f ms, p99 %.1f ms; %d taken on, %d refused, %.2f ms of a core a message",
 		quantile(heard, 0.5), quantile(heard, 0.99), quantile(delivered, 0.5), quantile(delivered, 0.99), len(heard), refused, used*1000/float64(max(len(heard), 1)))
 }
+
+// TestMeasureMost tells how many messages a second a sender of three takes on and delivers at most, what copies add to
+// the bytes on links, and what a held message takes in memory, at its owner and at a holder.
+func TestMeasureMost(t *testing.T) {
+	if os.Getenv("SLIPTIDE_MEASURE") == "" {
+		t.Skip("a measurement: make copies-price")
+	}
+	for _, c := range []struct{ name, xml string }{
+		{"off", ``},
+		{"count 1 needed 0", `<copies enabled="true" count="1" needed="0" room="16MiB"/>`},
+		{"count 1 needed 1", `<copies enabled="true" count="1" needed="1" room="16MiB"/>`},
+		{"count 2 needed 1", `<copies enabled="true" count="2" needed="1" room="16MiB"/>`},
+		{"count 2 needed 2", `<copies enabled="true" count="2" needed="2" room="16MiB"/>`},
+	} {
+		t.Run(c.name, func(t *testing.T) { most(t, c.xml) })
+	}
+}
+
+func most(t *testing.T, xml string) {
+	m := newTeamOf(t, xml, 3, func(m *team, i int, r *rig) {
+		m.relayed(i, r)
+		r.config["settings"].(map[string]any)["limits"].(map[string]any)["most_held"] = 4000
+		r.config["settings"].(map[string]any)["family_info"].(map[string]any)["call_slots"] = 64
+		r.config["limits"].(map[string]any)["disk_mb"] = 32.0
+	})
+	stop := make(chan struct{})
+	defer close(stop)
+	m.drain(stop)
+	m.copying()
+	bytes := func() (n int64) {
+		for _, r := range m.relays {
+			n += r.Bytes()
+		}
+		return n
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 128}, Timeout: time.Second}
+	hand := func(id string) int {
+		q, _ := http.NewRequest("POST", "http://"+m.rigs[0].addr+"/api", strings.NewReader("two guests, one night"))
+		for k, v := range map[string]string{"X-Trace-Id": id, "X-Qos": "note", "X-Customer": "acme", "Idempotency-Key": "key-" + id, "X-Expires-In": "15", "X-Route-To": "dest=5"} {
+			q.Header.Set(k, v)
+		}
+		resp, err := client.Do(q)
+		if err != nil {
+			return 0
+		}
+		io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	const span = 5 * time.Second
+	var taken atomic.Int64
+	var wg sync.WaitGroup
+	began, before, cpu := time.Now(), bytes(), standin.CPU(m.rigs[0].proc.Process.Pid)
+	delivered := len(m.taken())
+	for w := range 48 {
+		wg.Go(func() {
+			for n := 0; time.Since(began) < span; n++ {
+				if hand(fmt.Sprintf("n0-%d-%d", w, n)) == 202 {
+					taken.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	used := standin.CPU(m.rigs[0].proc.Process.Pid) - cpu
+	n := taken.Load()
+	t.Logf("most: %.0f taken on a second, %.0f delivered; %.2f ms of a core and %.0f bytes on links a message", float64(n)/span.Seconds(),
+		float64(len(m.taken())-delivered)/span.Seconds(), used*1000/float64(n), float64(bytes()-before)/float64(n))
+	m.set(true)
+	rss := func(k int) float64 { return standin.Resident(m.rigs[k].proc.Process.Pid) }
+	was := []float64{rss(0), rss(1), rss(2)}
+	held := 0
+	for k := range 2500 {
+		if hand(fmt.Sprintf("n0-held-%d", k)) == 202 {
+			held++
+		}
+	}
+	if held > 0 {
+		t.Logf("%d held: %.1f KB a message at the owner, %.1f and %.1f at the others", held, (rss(0)-was[0])*1e3/float64(held), (rss(1)-was[1])*1e3/float64(held), (rss(2)-was[2])*1e3/float64(held))
+	}
+}
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -6,10 +6,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
+	"sync"
 	"text/tabwriter"
 	"time"
 
+	"sliptide/internal/fleet/copies"
 	"sliptide/internal/fleet/duty"
 	"sliptide/internal/fleet/link"
 	"sliptide/internal/fleet/pb"
@@ -182,6 +185,52 @@
 	Epoch  uint64   `json:"epoch"`
 	Copies []string `json:"copies"`
 	State  string   `json:"state"`
+	// Own is what the sender itself says of its copies; nil: it does not answer.
+	Own *copies.Status `json:"own,omitempty"`
+}
+
+// mostAsks is how many senders are asked at once.
+const mostAsks = 32
+
+// askOwners asks each sender how its copies are.
+func (c *fleetCopies) askOwners(list []copyView) {
+	file, err := operator.Load(c.Operator)
+	if err != nil || c.At != "" {
+		return
+	}
+	var wg sync.WaitGroup
+	room := make(chan struct{}, mostAsks)
+	for i := range list {
+		k := slices.IndexFunc(file.Fleet.Members, func(m operator.Member) bool { return m.Name == list[i].Owner && m.Name == list[i].With })
+		if k < 0 {
+			continue
+		}
+		wg.Go(func() {
+			room <- struct{}{}
+			defer func() { <-room }()
+			one := fleetAsk{Operator: c.Operator, At: file.Fleet.Members[k].Addr}
+			a, err := one.ask(&pb.Ask{Copies: &pb.Copies{}})
+			var own copies.Status
+			if err == nil && json.Unmarshal([]byte(a.Status), &own) == nil {
+				list[i].Own = &own
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// lag is how far the furthest holder is behind, in words.
+func (v *copyView) lag() string {
+	if v.Own == nil {
+		return "-\t-\t-\t-"
+	}
+	var worst copies.Lag
+	for _, h := range v.Own.Holders {
+		if h.Batches >= worst.Batches {
+			worst = h
+		}
+	}
+	return fmt.Sprintf("%d batches, %.0f ms\t%d\t%d\t%d", worst.Batches, worst.MS, v.Own.Waiting, v.Own.Short, v.Own.Left)
 }
 
 // Run runs the command.
@@ -207,13 +256,15 @@
 		}
 		list = append(list, v)
 	}
+	c.askOwners(list)
 	if c.JSON {
 		return putJSON(env, list)
 	}
 	w := tabwriter.NewWriter(env.Out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "OWNER\tWITH\tEPOCH\tCOPIES AT\tSTATE")
-	for _, v := range list {
-		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\n", v.Owner, v.With, v.Epoch, strings.Join(v.Copies, ", "), v.State)
+	fmt.Fprintln(w, "OWNER\tWITH\tEPOCH\tCOPIES AT\tSTATE\tLAG\tWAITING\tSHORT\tBYTES LEFT")
+	for i := range list {
+		v := &list[i]
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%s\n", v.Owner, v.With, v.Epoch, strings.Join(v.Copies, ", "), v.State, v.lag())
 	}
 	return w.Flush()
 }
--- a/internal/fleet/copies/copies.go
+++ b/internal/fleet/copies/copies.go
@@ -202,6 +202,37 @@
 	return names
 }
 
+// Lag is how far a holder is behind.
+type Lag struct {
+	Holder  string  `json:"holder"`
+	Batches uint64  `json:"batches"` // that it has not answered for
+	MS      float64 `json:"ms"`      // since the oldest of them was sent
+	Whole   bool    `json:"whole"`   // it has been brought everything once in this epoch
+	Full    bool    `json:"full"`    // it has no room
+}
+
+// Status is how the copies of a sender's journal are, for operators.
+type Status struct {
+	Held    bool   `json:"held"`    // the lease on its own journal
+	Holders []Lag  `json:"holders"` // how far each is behind
+	Waiting int    `json:"waiting"` // answers and calls that wait for holders
+	Short   uint64 `json:"short"`   // messages that too few had in time, since the start
+	Left    int64  `json:"left"`    // bytes that are still to be copied to holders that were not brought everything
+}
+
+// Lags are how far the holders are behind, by name.
+func (o *Owner) Lags(now int64) (list []Lag) {
+	for _, name := range o.names() {
+		p := o.peers[name]
+		l := Lag{Holder: name, Batches: o.seq - min(p.acked, o.seq), Whole: o.Synced(name), Full: p.full}
+		if p.acked < p.waits {
+			l.MS = float64(now-p.sentAt) / 1e6
+		}
+		list = append(list, l)
+	}
+	return list
+}
+
 // Furthest is how many batches the holder is behind that is furthest behind.
 func (o *Owner) Furthest() (batches uint64) {
 	for _, p := range o.peers {
--- a/internal/fleet/copies/model_test.go
+++ b/internal/fleet/copies/model_test.go
@@ -412,7 +412,7 @@
 	if m.owner.Epoch() != d.Token {
 		if a := w.state.Adopted(m.name); a != nil && a.Incarnation == m.incarnation && !w.guards.keepAll {
 			m.journal = slices.DeleteFunc(m.journal, func(e entry) bool { return e.num <= a.Upto })
-			m.calls = nil
+			m.calls = slices.DeleteFunc(m.calls, func(c *attempt) bool { return c.num <= a.Upto })
 			for i := range m.wait {
 				m.wait[i].till = 0
 			}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -102,8 +102,10 @@
 	KeepRoom *statedir.Account // of the folder, for copies; nil: not bounded
 	Copied   func(from string, f *pb.Frame)
 	Changed  func()
-	Watch    func(d *pb.Duty, mine bool) // each change of a duty; it must not wait. nil: none
-	Now      func() int64                // nil: Now
+	// CopyStatus is what operators are told of the copies of this member's own journal; nil: there are none.
+	CopyStatus func() string
+	Watch      func(d *pb.Duty, mine bool) // each change of a duty; it must not wait. nil: none
+	Now        func() int64                // nil: Now
 	// BreakVoter and BreakSession take guards out, for tests that show what finds that.
 	BreakVoter   voter.Break
 	BreakSession session.Break
@@ -480,6 +482,9 @@
 
 // call answers an operator's command, at any member.
 func (m *Member) call(ctx context.Context, a *pb.Ask) (*pb.Answer, error) {
+	if a.Copies != nil {
+		return m.copyStatus(), nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, callFor)
 	defer cancel()
 	answers := make(chan *pb.Answer, 2)
@@ -496,6 +501,16 @@
 	}
 }
 
+// copyStatus is how this member's own copies are.
+func (m *Member) copyStatus() *pb.Answer {
+	if m.o.CopyStatus != nil {
+		if text := m.o.CopyStatus(); text != "" {
+			return &pb.Answer{Status: text}
+		}
+	}
+	return &pb.Answer{Error: "this member's journal is not copied"}
+}
+
 func (m *Member) askStatus(ctx context.Context, answers chan<- *pb.Answer) {
 	f := func() {
 		r := &pb.Answer{}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -327,6 +327,9 @@
 	return j.Snapshot()
 }
 
+// Live is the bytes that the live entries take.
+func (j *Journal) Live() int64 { return j.used }
+
 // Skip makes all numbers up to one count as used.
 func (j *Journal) Skip(upto uint64) { j.next = max(j.next, upto+1) }
 
--- a/internal/sender/copies.go
+++ b/internal/sender/copies.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sliptide/internal/fleet"
@@ -51,20 +52,22 @@
 
 // copier is a sender's part in the copies of journals.
 type copier struct {
-	set     CopySettings
-	fleet   CopyFleet
-	owner   *copies.Owner
-	heirs   map[string]*heirOf
-	pending map[uint64]*journal.Entry // being taken over: of no module yet
-	lines   []copyLine
-	told    []*taking // whose 202 goes out with this step, once its record has
-	claim   *claim    // of the messages that are handed in again in this step
-	live    bool      // the lease on this sender's own journal holds
-	asked   []string
-	inc     uint64 // of the folder
-	wantAt  time.Time
-	placeAt time.Time // of the next look at where copies go
-	short   uint64    // messages that were refused, or taken on without copies
+	set      CopySettings
+	fleet    CopyFleet
+	owner    *copies.Owner
+	heirs    map[string]*heirOf
+	pending  map[uint64]*journal.Entry // being taken over: of no module yet
+	lines    []copyLine
+	told     []*taking // whose 202 goes out with this step, once its record has
+	claim    *claim    // of the messages that are handed in again in this step
+	live     bool      // the lease on this sender's own journal holds
+	asked    []string
+	inc      uint64 // of the folder
+	wantAt   time.Time
+	placeAt  time.Time // of the next look at where copies go
+	short    uint64    // messages that were refused, or taken on without copies
+	status   atomic.Pointer[copies.Status]
+	statusAt time.Time
 
 	mu    sync.Mutex
 	inbox []copyNews
@@ -165,6 +168,7 @@
 	s.inherit(now, look)
 	s.reopen()
 	s.copyLines()
+	s.publishCopies()
 }
 
 // ownJournal begins the epoch of this sender's own journal, or notices that its lease is over.
