--- a/internal/journal/holds.go
+++ b/internal/journal/holds.go
@@ -8,8 +8,8 @@
 )
 
 // Beside messages an heir must know where nothing may be sent for a while: waits that partners told, endpoints that
-// drain, endpoints that were taken out by hand. These go into the copies of a journal alone; the sender's own folder
-// keeps what of it outlasts a restart elsewhere.
+// drain, endpoints that were taken out by hand. A journal that is copied keeps them beside its entries, so that they are
+// still known after a restart of the heir.
 
 // HoldKind says why nothing is sent.
 type HoldKind byte
@@ -33,9 +33,10 @@
 const (
 	Forever   = math.MaxInt64
 	holdsMost = 4096
+	holdSlack = 192 // bounds what one takes in the file
 )
 
-const recHold = 'H' // a Hold; it ends one with an Until of 0. In copies alone
+const recHold = 'H' // a Hold; it ends one with an Until of 0
 
 type holdKey struct {
 	kind     HoldKind
@@ -43,7 +44,7 @@
 	endpoint string
 }
 
-// Hold notes one for the copies of the journal, or takes one back, by an Until of 0; now is by the same clock. Holds
+// Hold notes one where the journal is copied, or takes one back, by an Until of 0; now is by the same clock. Holds
 // that are over are taken back with it. Where there are too many, a further one is left out: false.
 func (j *Journal) Hold(h Hold, now int64) bool {
 	if !j.tapped {
@@ -69,10 +70,10 @@
 
 func (h *Hold) key() holdKey { return holdKey{h.Kind, h.Dest, h.Endpoint} }
 
-// hold makes a hold known, and a record of it in the copies.
+// hold makes a hold known, and notes it.
 func (j *Journal) hold(h Hold) {
 	j.set(h)
-	j.tap = frame(j.tap, h.record)
+	j.append(h.record)
 }
 
 func (j *Journal) set(h Hold) {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -94,7 +94,7 @@
 	live   map[uint64]*Entry
 	tap    []byte // the records since the last Tapped, where they are wanted
 	tapped bool
-	holds  map[holdKey]Hold // for copies alone
+	holds  map[holdKey]Hold // of a journal that is copied
 	used   int64            // bytes that the live entries take in a fresh file
 	next   uint64
 }
@@ -241,7 +241,9 @@
 }
 
 // slack is what the live entries, and some more, may still write in small records.
-func (j *Journal) slack(more int) int64 { return int64(len(j.live)+more) * entrySlack }
+func (j *Journal) slack(more int) int64 {
+	return int64(len(j.live)+more)*entrySlack + 2*int64(len(j.holds))*holdSlack
+}
 
 // Take adds a message.
 func (j *Journal) Take(e *Entry) {
@@ -462,6 +464,9 @@
 		b = e.frames(b)
 		j.used += e.size
 	}
+	for _, h := range j.Holds() {
+		b = frame(b, h.record)
+	}
 	copyName := j.name + copyEnd
 	f, err := os.OpenFile(j.path(copyName), os.O_WRONLY|os.O_CREATE|os.O_TRUNC|os.O_APPEND, 0o600)
 	if err != nil {
--- a/internal/sender/holds.go
+++ b/internal/sender/holds.go
@@ -74,6 +74,24 @@
 	}
 }
 
+// heedListed makes waits that the journal keeps bind at what a list names: after a restart the module learns of them here.
+func (s *Sender) heedListed(list []policy.Endpoint) {
+	if s.copies == nil {
+		return
+	}
+	dests := map[int]bool{}
+	for i := range list {
+		dests[list[i].Dest] = true
+	}
+	var holds []journal.Hold
+	for _, h := range s.journal.Holds() {
+		if dests[h.Dest] {
+			holds = append(holds, h)
+		}
+	}
+	s.heed(holds)
+}
+
 // keepShut keeps away from endpoints that a lost owner kept away from, as long as this sender has messages of it.
 func (s *Sender) keepShut(holds []journal.Hold, till float64) {
 	for _, x := range holds {
--- a/internal/sender/lists.go
+++ b/internal/sender/lists.go
@@ -76,6 +76,7 @@
 	}
 	s.guard.Listed(s.now, ev.List, ev.FullList)
 	s.events = append(s.events, ev)
+	s.heedListed(ev.List)
 	s.hushNew()
 	for c := range s.calls {
 		// Nothing new may reach an endpoint that drains or is gone, and a call that still
