--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -219,12 +219,17 @@
 	return nil
 }
 
-// settle gives a duty without a holder to the next in line, or forgets it where nobody is.
+// settle gives a duty without a holder to the next in line, or forgets it where nobody is. A journal of which there are
+// copies is not forgotten: whoever keeps them may be in line soon.
 func (s *State) settle(d *Duty) {
 	if len(d.Waiting) > 0 {
 		s.grant(d)
 		return
 	}
+	if isOwn(d.Name) && len(d.Holders) > 0 {
+		s.note(d)
+		return
+	}
 	delete(s.duties, d.Name)
 	s.note(d)
 	s.changed[len(s.changed)-1].Ended = true
@@ -320,20 +325,39 @@
 }
 
 // heirs are those in line that a free duty may go to: of a journal whose copies are not taken over yet, only members
-// that keep them, if any is there. Its owner may be back with an empty disk, and would begin anew over them.
+// that keep them, if any is there. Its owner may be back with an empty disk, and would begin anew over them. Of these, those
+// that hold their own journals go first: one that does not can copy nothing, and two could wait for each other.
 func (s *State) heirs(d *Duty) []uint64 {
 	if !isOwn(d.Name) {
 		return d.Waiting
 	}
-	var keep []uint64
+	var keep, ready []uint64
 	for _, id := range d.Waiting {
-		if v := s.sessions[id]; v != nil && slices.Contains(d.Holders, v.Member) {
-			keep = append(keep, id)
+		v := s.sessions[id]
+		if v == nil || !slices.Contains(d.Holders, v.Member) {
+			continue
+		}
+		keep = append(keep, id)
+		if own := s.duties[Own(v.Member)]; own != nil && own.Session == id {
+			ready = append(ready, id)
 		}
 	}
-	if len(keep) > 0 {
+	switch {
+	case len(ready) > 0:
+		return ready
+	case len(keep) > 0:
 		return keep
 	}
+	return s.ownFirst(d)
+}
+
+// ownFirst are those in line for a journal of which nobody keeps copies: its owner alone, if it is there.
+func (s *State) ownFirst(d *Duty) []uint64 {
+	for _, id := range d.Waiting {
+		if v := s.sessions[id]; v != nil && d.Name == Own(v.Member) {
+			return []uint64{id}
+		}
+	}
 	return d.Waiting
 }
 
@@ -396,7 +420,7 @@
 	if v := s.sessions[d.Session]; v != nil {
 		v.holds--
 	}
-	if v := s.sessions[r.Session]; isOwn(d.Name) && v != nil && d.Name != Own(v.Member) {
+	if v := s.sessions[r.Session]; isOwn(d.Name) && v != nil && d.Name != Own(v.Member) && !r.Keep {
 		d.Holders = nil // its heir is done with what they keep
 	}
 	d.Session, d.Wanted = 0, wanted
--- a/internal/sender/copies.go
+++ b/internal/sender/copies.go
@@ -82,6 +82,7 @@
 // heirOf is a taking over.
 type heirOf struct {
 	*copies.Heir
+	began int64          // nanoseconds
 	nums  []uint64       // of the entries in this journal
 	holds []journal.Hold // where nothing may be sent, by this sender's clock
 }
--- a/internal/sender/inherit.go
+++ b/internal/sender/inherit.go
@@ -15,6 +15,9 @@
 // This file takes over what a lost owner had: its copies are sealed and read, put into this sender's own journal and
 // copied, agreed on by the fleet, and only then sent.
 
+// handOnAfter is how long an heir waits for its own journal with what it has found of another's.
+const handOnAfter = int64(2 * time.Second)
+
 // ownerOf is the owner of a journal's duty; empty: it is none.
 func ownerOf(name string) string {
 	if n := len(duty.Own("")); len(name) > n {
@@ -40,12 +43,12 @@
 func (s *Sender) inherit(now int64, look *fleet.Look) {
 	c := s.copies
 	for owner, d := range look.Own {
-		if owner == c.set.Name || !look.Mine(d) || c.fleet.Held(d.Name) != d.Token || !c.live {
+		if owner == c.set.Name || !look.Mine(d) || c.fleet.Held(d.Name) != d.Token {
 			continue
 		}
 		h := c.heirs[owner]
 		if h == nil || h.Epoch != d.Token {
-			h = &heirOf{Heir: copies.NewHeir(owner, d.Token, d.Holders, look.Adopted[owner])}
+			h = &heirOf{Heir: copies.NewHeir(owner, d.Token, d.Holders, look.Adopted[owner]), began: now}
 			c.heirs[owner] = h
 			s.log.Info().Str("owner", owner).Strs("holders", d.Holders).Msg("copies: taking over from a lost sender")
 		}
@@ -54,7 +57,13 @@
 		}
 		switch h.Look(look.Is) {
 		case copies.Ready:
-			s.bring(h, d)
+			if c.live {
+				s.bring(h, d)
+			} else if now-h.began > handOnAfter { // it can copy nothing: another one may, or the owner that is back
+				c.fleet.Ask(&pb.Command{What: &pb.Command_Release{Release: &pb.Release{Session: look.Session, Duty: d.Name, Token: d.Token, Keep: true}}}, func(*pb.Answer, error) {})
+				h.began = now
+				s.log.Info().Str("owner", owner).Msg("copies: handed on to another heir, as this sender does not hold its own journal")
+			}
 		case copies.Done:
 			delete(c.heirs, owner)
 			c.fleet.Leave(d.Name, false)
