--- a/Makefile
+++ b/Makefile
@@ -53,7 +53,7 @@
 copies-size: ## a zone lost, a tenth lost and a rolling restart of 30 and 300 members in the emulator (about two minutes)
 	SLIPTIDE_MEASURE=1 go test ./internal/fleet/copies -run TestSizes -count=1 -timeout 30m -v | grep -E 'members|FAIL'
 
-copies-price: ## what copies cost: the 202, the delivery, the processor, links, memory, the most messages, the worth after a loss (about four minutes)
+copies-price: ## what copies cost: the 202, the delivery, the processor, links, memory, the most messages, the worth after a loss (about five minutes)
 	SLIPTIDE_MEASURE=1 go test ./cmd/sliptide -run "TestMeasure(Copies|Most|Worth)" -parallel 1 -count=1 -timeout 30m -v | grep -E '_test|PASS|FAIL'
 
 measure: ## the tables of docs/: restarts and cost, with knowledge off and on (about two minutes)
--- a/cmd/sliptide/losses_test.go
+++ b/cmd/sliptide/losses_test.go
@@ -530,7 +530,7 @@
 	if os.Getenv("SLIPTIDE_MEASURE") == "" {
 		t.Skip("a measurement: make copies-price")
 	}
-	for _, rate := range []float64{150, 350, 500} {
+	for _, rate := range []float64{150, 500, 3000, 7000, 10000} { // the last three about 0.3, 0.7 and 1 of the most with copies
 		for _, c := range []struct{ name, xml string }{
 			{"off", ``},
 			{"count 1 needed 1", `<copies enabled="true" count="1" needed="1" room="16MiB"/>`},
@@ -542,8 +542,15 @@
 	}
 }
 
+// ample gives a sender room for thousands of messages a second.
+func ample(_ *team, _ int, r *rig) {
+	r.config["settings"].(map[string]any)["limits"].(map[string]any)["most_held"] = 4000
+	r.config["settings"].(map[string]any)["family_info"].(map[string]any)["call_slots"] = 64
+	r.config["limits"].(map[string]any)["disk_mb"] = 32.0
+}
+
 func price(t *testing.T, xml string, rate float64) {
-	m := newTeamWith(t, xml, 3)
+	m := newTeamOf(t, xml, 3, ample)
 	var mu sync.Mutex
 	sent := map[string]time.Time{}
 	var heard, delivered []float64
@@ -625,9 +632,7 @@
 func most(t *testing.T, xml string) {
 	m := newTeamOf(t, xml, 3, func(m *team, i int, r *rig) {
 		m.relayed(i, r)
-		r.config["settings"].(map[string]any)["limits"].(map[string]any)["most_held"] = 4000
-		r.config["settings"].(map[string]any)["family_info"].(map[string]any)["call_slots"] = 64
-		r.config["limits"].(map[string]any)["disk_mb"] = 32.0
+		ample(m, i, r)
 	})
 	m.run()
 	bytes := func() (n int64) {
