Losses: a late end is excused by the loss of who had the message alone

Seen by reading: the judge excused any message that ended within 5 s of any machine's loss, and machines are lost every second or two, so that its count of late ends could hardly fail. At fault: takingOver in cmd/sliptide/losses_test.go.

Change: a blow excuses the messages of the member that it hit, and of those that it took over. TestLatenessIsJudged.

--- a/cmd/sliptide/losses_test.go
+++ b/cmd/sliptide/losses_test.go
@@ -33,14 +33,34 @@
 	out     map[string]int // calls that the partner has before it, by id
 	at      []ownerLife
 	judged  struct{ both, bothUnsafe, inWait, inherited, most int }
-	history []string    // what was done, and when
-	blows   []time.Time // when a machine was lost, or an heir killed
+	history []string // what was done, and when
+	blows   []blow   // what may have kept a message's end back
 	began   time.Time
 	gaps    []float64 // from a loss to the first call of its heir, and until all it had is ended, in milliseconds
 	settles []float64
 	over    []float64 // by how much messages ended late whose time was up while they were being taken over
 }
 
+// blow is a loss, kill, stop or cut, and whose messages it may keep back: those that the member had then.
+type blow struct {
+	at time.Time
+	of []int // the senders that they were handed in at
+}
+
+// hit notes a blow to a member, which has its own messages and those that its log says it took over. The lock is held.
+func (l *losses) hit(k int, more ...int) {
+	of := append([]int{k}, more...)
+	for _, line := range strings.Split(l.rigs[k].logs.String(), "\n") {
+		var e struct{ Message, Owner string }
+		if json.Unmarshal([]byte(line), &e) == nil && e.Message == "copies: took over" {
+			var from int
+			fmt.Sscanf(e.Owner, "n%d", &from)
+			of = append(of, from)
+		}
+	}
+	l.blows = append(l.blows, blow{time.Now(), of})
+}
+
 // ownerLife is what the judge knows of one sender.
 type ownerLife struct {
 	told, until time.Time // the last wait that it was told
@@ -227,7 +247,7 @@
 		if n := ends[id]; len(n) > 0 && (!known || n[0].Before(at)) {
 			at, known = n[0], true
 		}
-		if known && at.After(until.Add(late300)) && l.takingOver(until, at) {
+		if known && at.After(until.Add(late300)) && l.takingOver(id, until, at) {
 			l.over = append(l.over, float64(at.Sub(until))/1e6)
 		} else if known && at.After(until.Add(late300)) {
 			late++
@@ -250,10 +270,13 @@
 	return taken, lost, late, twice, repeated, sent
 }
 
-// takingOver reports whether a message's time was up while its owner was lost and its heir not there yet: nobody can end
-// it then, and it ends as soon as it is taken over. The lock is held.
-func (l *losses) takingOver(until, at time.Time) bool {
-	return slices.ContainsFunc(l.blows, func(blow time.Time) bool { return !blow.After(until.Add(late300)) && at.Sub(blow) < takeOverMost })
+// takingOver reports whether a message's time was up while whoever had it was lost, stopped or cut off and its heir not
+// there yet: nobody can end it then, and it ends as soon as it is taken over. Another member's loss excuses nothing. The
+// lock is held.
+func (l *losses) takingOver(id string, until, at time.Time) bool {
+	return slices.ContainsFunc(l.blows, func(b blow) bool {
+		return slices.Contains(b.of, origin(id)) && b.at.Before(until.Add(late300)) && at.Sub(b.at) < takeOverMost
+	})
 }
 
 // takeOverMost is how long a taking over takes at the most with a lease of 1 s, link faults and an heir that is killed.
@@ -429,6 +452,9 @@
 		}
 	case 4:
 		name = "member cut off"
+		l.mu.Lock()
+		l.hit(a)
+		l.mu.Unlock()
 		for k, r := range l.relays {
 			if k[0] == a || k[1] == a {
 				r.Cut(true)
@@ -441,6 +467,9 @@
 		}
 	case 5:
 		name = "member stopped"
+		l.mu.Lock()
+		l.hit(a)
+		l.mu.Unlock()
 		p := l.rigs[a].proc
 		p.Process.Signal(syscall.SIGSTOP)
 		end = func() { p.Process.Signal(syscall.SIGCONT) }
@@ -473,7 +502,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	was := &l.at[k]
-	l.blows = append(l.blows, time.Now())
+	l.hit(k)
 	was.lost, was.left = time.Now(), map[string]bool{}
 	for id := range l.handed {
 		if origin(id) == k && l.effects[id] == 0 && len(ends[id]) == 0 {
@@ -500,7 +529,7 @@
 					r.kill(syscall.SIGKILL)
 					l.mu.Lock()
 					l.at[k].killed = time.Now()
-					l.blows = append(l.blows, time.Now())
+					l.hit(k, owner)
 					l.mu.Unlock()
 					r.logs.Reset()
 					r.launch()
@@ -745,3 +774,18 @@
 		t.Logf("disk kept %v: %.2f of the worth of %d messages; the last is delivered after %.0f ms", disk, share/float64(len(handed)), len(handed), last)
 	})
 }
+
+// TestLatenessIsJudged: a blow to who had a message excuses its late end, for a while; one to another member does not.
+func TestLatenessIsJudged(t *testing.T) {
+	until := time.Now()
+	l := &losses{blows: []blow{{until.Add(-time.Second), []int{1, 3}}}}
+	for _, c := range []struct {
+		id     string
+		at     time.Duration
+		excuse bool
+	}{{"note-1-7", time.Second, true}, {"note-3-7", time.Second, true}, {"note-2-7", time.Second, false}, {"note-1-7", takeOverMost, false}} {
+		if got := l.takingOver(c.id, until, until.Add(c.at)); got != c.excuse {
+			t.Errorf("%s %v late: excused %v", c.id, c.at, got)
+		}
+	}
+}
