--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 	SLIPTIDE_MEASURE=1 go test ./internal/fleet/copies/model -run TestEverySmallRun -count=1 -timeout 60m -v | grep -E '_test|ok|FAIL'
 
 shares: ## 10,000 schedules of faults on a limit that a fleet shares, and what is sent at 3, 30 and 300 members (about a minute)
-	SLIPTIDE_MEASURE=1 SLIPTIDE_SCHEDULES=10000 go test ./internal/fleet/share -count=1 -timeout 30m -v | grep -E '_test|ok|FAIL'
+	SLIPTIDE_MEASURE=1 SLIPTIDE_SCHEDULES=10000 go test ./internal/fleet/share/model -count=1 -timeout 30m -v | grep -E '_test|ok|FAIL'
 
 copies-size: ## a zone lost, a tenth lost and a rolling restart of 30 and 300 members in the emulator (about two minutes)
 	SLIPTIDE_MEASURE=1 go test ./internal/fleet/copies/model -run TestSizes -count=1 -timeout 30m -v | grep -E 'members|FAIL'
--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 
 	"google.golang.org/protobuf/proto"
@@ -463,6 +464,16 @@
 // Own is the duty of a member's own journal: the member holds it, and when its session is over, its heir.
 func Own(member string) string { return "own/" + member }
 
+// Partner is the duty of that kind for a partner.
+func Partner(kind string, dest int) string { return kind + "/" + strconv.Itoa(dest) }
+
+// PartnerOf is the partner of a duty, false if the duty is not of that kind.
+func PartnerOf(kind, name string) (dest int, ok bool) {
+	text, ok := strings.CutPrefix(name, kind+"/")
+	n, err := strconv.Atoi(text)
+	return n, ok && err == nil && n >= 0
+}
+
 // held is the duty that a session holds with that token.
 func (s *State) held(name string, session, token uint64) (*Duty, error) {
 	d := s.duties[name]
--- /dev/null
+++ b/internal/fleet/share/model/model_test.go
@@ -0,0 +1,102 @@
+package model
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"sliptide/internal/fleet/share"
+)
+
+// TestNeverOverTheLimit: whoever is cut off, stopped or replaced, and however demand moves, the sum of what all members
+// may send is at most the limit at every moment. SLIPTIDE_SCHEDULES sets how many schedules.
+func TestNeverOverTheLimit(t *testing.T) {
+	if os.Getenv("SLIPTIDE_SCHEDULES") == "" {
+		flag.Set("rapid.checks", "60")
+	} else {
+		flag.Set("rapid.checks", os.Getenv("SLIPTIDE_SCHEDULES"))
+	}
+	flag.Set("rapid.nofailfile", "true")
+	rapid.Check(t, func(t *rapid.T) {
+		if w := play(rapid.Uint64().Draw(t, "seed"), terms, 0, 0, 1, 2, 3); w.breach != "" {
+			t.Fatal(w.breach)
+		}
+	})
+}
+
+// TestGuards takes each guard out in turn: some schedule must show it.
+func TestGuards(t *testing.T) {
+	for name, c := range map[string]struct {
+		guard share.Break
+		kinds []int
+	}{
+		"what binds counts from the report":              {share.BreakBind, []int{0, 1, 2}},
+		"what is lent counts from the answer":            {share.BreakRaise, []int{0, 1, 2}},
+		"members are relied on that did not say so":      {share.BreakConfirm, []int{0, 1, 2}},
+		"a holder that takes over divides at once":       {share.BreakWait, []int{3}},
+		"answers of older tokens are taken":              {share.BreakToken, []int{2, 3}},
+		"nobody allows for clocks that are fast or slow": {share.BreakDrift, []int{0, 1, 2}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			with := terms
+			if c.guard == share.BreakDrift {
+				with.Drift = 0.2
+			}
+			for seed := range uint64(400) {
+				if w := play(seed, with, 0, c.kinds...); w.breach != "" {
+					t.Fatalf("with all guards in: %s", w.breach)
+				}
+				if w := play(seed, with, c.guard, c.kinds...); w.breach != "" {
+					t.Logf("found by schedule %d: %s", seed, w.breach)
+					return
+				}
+			}
+			t.Error("400 schedules do not find that the guard is out")
+		})
+	}
+}
+
+// TestGoodput: shares come to what an oracle would send, within a few hundredths, where even parts leave much unsent.
+func TestGoodput(t *testing.T) {
+	sizes := []int{3, 30}
+	if os.Getenv("SLIPTIDE_MEASURE") != "" {
+		sizes = append(sizes, 300)
+	}
+	const limit = 40.0
+	for _, n := range sizes {
+		for _, c := range []struct {
+			name  string
+			least float64 // of the oracle's
+			load  func(now int64, i int) float64
+		}{
+			{"even demand", 0.97, func(_ int64, i int) float64 { return 0.9 * limit / float64(n) }},
+			{"one has six tenths", 0.97, func(_ int64, i int) float64 {
+				if i == 1 {
+					return 0.6 * 0.9 * limit
+				}
+				return 0.4 * 0.9 * limit / float64(n-1)
+			}},
+			{"a third has all", 0.97, func(_ int64, i int) float64 {
+				if i%3 == 1 {
+					return 0.9 * limit / float64((n+1)/3)
+				}
+				return 0
+			}},
+			{"it moves each second", 0.9, func(now int64, i int) float64 {
+				if int(now/(1000*ms))%n == i {
+					return 0.9 * limit
+				}
+				return 0
+			}},
+		} {
+			shared, even, oracle, reports := goodput(n, limit, c.load)
+			t.Logf("%3d members, %-18s: shared %.3f, even parts %.3f, oracle %.3f; shared is %.3f of the oracle's; %.0f reports a second", n, c.name, shared, even, oracle, shared/oracle, reports)
+			if shared < c.least*oracle || shared < even-0.02 {
+				t.Errorf("%d members, %s: %.3f, the oracle sends %.3f, even parts %.3f", n, c.name, shared, oracle, even)
+			}
+		}
+	}
+}
--- a/internal/fleet/share/share.go
+++ b/internal/fleet/share/share.go
@@ -19,22 +19,18 @@
 
 import (
 	"math"
-	"strconv"
-	"strings"
 	"time"
+
+	"sliptide/internal/fleet/duty"
 )
 
-const prefix = "limit/"
+const kind = "limit"
 
 // Duty is the name of a partner's duty.
-func Duty(dest int) string { return prefix + strconv.Itoa(dest) }
+func Duty(dest int) string { return duty.Partner(kind, dest) }
 
 // Dest is the partner of a duty, false if the duty is of another kind.
-func Dest(duty string) (int, bool) {
-	text, ok := strings.CutPrefix(duty, prefix)
-	n, err := strconv.Atoi(text)
-	return n, ok && err == nil && n >= 0
-}
+func Dest(name string) (int, bool) { return duty.PartnerOf(kind, name) }
 
 // Terms are what all members of a fleet must agree on.
 type Terms struct {
--- a/internal/fleet/trial/trial.go
+++ b/internal/fleet/trial/trial.go
@@ -14,11 +14,12 @@
 	"strconv"
 	"strings"
 
+	"sliptide/internal/fleet/duty"
 	"sliptide/internal/storm"
 )
 
 const (
-	prefix   = "trial/"
+	kind     = "trial"
 	hushed   = 1e-3   // a pace that holds every trial back, yet is one: 0 would be none
 	tryMost  = 10.0   // the holder's pace at most: a trial each half second, by the share that trials may take
 	sayEvery = 1000.0 // between two words that the partner is down still
@@ -31,14 +32,10 @@
 )
 
 // Duty is the name of a partner's duty.
-func Duty(dest int) string { return prefix + strconv.Itoa(dest) }
+func Duty(dest int) string { return duty.Partner(kind, dest) }
 
 // Dest is the partner of a duty, false if the duty is of another kind.
-func Dest(duty string) (int, bool) {
-	text, ok := strings.CutPrefix(duty, prefix)
-	n, err := strconv.Atoi(text)
-	return n, ok && err == nil && n >= 0
-}
+func Dest(name string) (int, bool) { return duty.PartnerOf(kind, name) }
 
 // News is what is heard of a duty.
 type News struct {
