--- a/cmd/sliptide/fleet_test.go
+++ b/cmd/sliptide/fleet_test.go
@@ -30,15 +30,15 @@
 
 	mu    sync.Mutex
 	down  bool
-	calls []teamCall // at the partner
-	ends  []ending   // at the platform
+	calls []teamCall   // at the partner
+	ends  []ending     // at the platform
+	heard func(ending) // each of them; nil: nobody
 }
 
 // ending is a notice with when it came.
 type ending struct {
 	notice
 	at time.Time
-	by int // the sender
 }
 
 type teamCall struct {
@@ -225,7 +225,7 @@
 
 // drain reads notices and watches so that no rig stands still.
 func (m *team) drain(stop <-chan struct{}) {
-	for i, r := range m.rigs {
+	for _, r := range m.rigs {
 		go func() {
 			for {
 				select {
@@ -235,9 +235,13 @@
 				case c := <-r.calls:
 					c.status(200)
 				case n := <-r.notices:
+					e := ending{n, time.Now()}
 					m.mu.Lock()
-					m.ends = append(m.ends, ending{n, time.Now(), i})
+					m.ends = append(m.ends, e)
 					m.mu.Unlock()
+					if m.heard != nil {
+						m.heard(e)
+					}
 				}
 			}
 		}()
--- a/cmd/sliptide/inherit_test.go
+++ b/cmd/sliptide/inherit_test.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"sliptide/internal/fleet/ledger"
 )
 
 // These tests lose a machine with its disk and look at what its heir makes of what it was handed.
@@ -86,7 +88,7 @@
 			m.lose(0)
 			m.allEnded(short)
 			m.eachEnd(func(e ending) {
-				if strings.HasPrefix(e.Message, "n0-short") && (e.at.Sub(from) < 3*time.Second || e.at.Sub(from) > 4*time.Second+late300+time.Second) {
+				if strings.HasPrefix(e.Message, "n0-short") && (e.at.Sub(from) < 3*time.Second || e.at.Sub(from) > 4*time.Second+ledger.InTime+time.Second) {
 					t.Errorf("%s: %s after %v, its time was 4 s", e.Message, e.Outcome, e.at.Sub(from))
 				}
 			})
--- a/cmd/sliptide/losses_test.go
+++ b/cmd/sliptide/losses_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,107 +15,21 @@
 	"testing"
 	"time"
 
+	"sliptide/internal/fleet/ledger"
 	"sliptide/internal/standin"
 )
 
-// losses is a team under load whose machines are lost, with the ledgers of clients, partner and platform. Each link
-// goes through a relay of its own.
+// losses is a team under load whose machines are lost. Each link goes through a relay of its own; the book has what
+// clients, the partner and the platforms see.
 type losses struct {
 	*team
-	rng *rand.Rand
+	book *ledger.Book
 
 	mu      sync.Mutex
-	handed  map[string]time.Time // 202 was heard, by id, with when its time is up
-	effects map[string]int       // at the partner
-	ended   map[string]time.Time // the first final answer, by partner or platform
-	refused map[string]bool
-	out     map[string]int // calls that the partner has before it, by id
-	at      []ownerLife
-	judged  struct{ both, bothUnsafe, inWait, inherited, most int }
-	history []string // what was done, and when
-	blows   []blow   // what may have kept a message's end back
+	rng     *rand.Rand // the partner's
+	history []string   // what was done, and when
 	began   time.Time
-	gaps    []float64 // from a loss to the first call of its heir, and until all it had is ended, in milliseconds
-	settles []float64
-	over    []float64 // by how much messages ended late whose time was up while they were being taken over
-}
-
-// blow is a loss, kill, stop or cut, and whose messages it may keep back: those that the member had then.
-type blow struct {
-	at time.Time
-	of []int // the senders that they were handed in at
-}
-
-// hit notes a blow to a member, which has its own messages and those that its log says it took over. The lock is held.
-func (l *losses) hit(k int, more ...int) {
-	of := append([]int{k}, more...)
-	for _, line := range strings.Split(l.rigs[k].logs.String(), "\n") {
-		var e struct{ Message, Owner string }
-		if json.Unmarshal([]byte(line), &e) == nil && e.Message == "copies: took over" {
-			var from int
-			fmt.Sscanf(e.Owner, "n%d", &from)
-			of = append(of, from)
-		}
-	}
-	l.blows = append(l.blows, blow{time.Now(), of})
-}
-
-// ownerLife is what the judge knows of one sender.
-type ownerLife struct {
-	told, until time.Time // the last wait that it was told
-	lost        time.Time // when its machine was lost last
-	killed      time.Time // when its process was killed: a restart ends a wait
-	left        map[string]bool
-	inherits    bool // somebody has called for a message of it since
-}
-
-// origin is the sender that a message was handed in at.
-func origin(id string) int {
-	part := strings.Split(id, "-")
-	if len(part) != 3 {
-		return -1
-	}
-	i, err := strconv.Atoi(part[1])
-	if err != nil {
-		return -1
-	}
-	return i
-}
-
-const (
-	waitTold = 1500 * time.Millisecond
-	slack100 = 100 * time.Millisecond // calls that were under way when a wait was told
-)
-
-// judge looks at a call as it comes to the partner from sender i. The lock is held.
-func (l *losses) judge(i int, id string) {
-	now := time.Now()
-	if l.out[id]++; l.out[id] > 1 {
-		l.judged.both++
-		if strings.HasPrefix(id, "pay") {
-			l.judged.bothUnsafe++
-		}
-	}
-	me := &l.at[i]
-	if now.After(me.told.Add(slack100)) && now.Before(me.until) && me.told.After(me.lost) && me.told.After(me.killed) {
-		l.judged.inWait++
-		l.t.Logf("%s: called by n%d %v inside its wait", id, i, me.until.Sub(now))
-	}
-	from := origin(id)
-	if from < 0 || from == i {
-		return
-	}
-	was := &l.at[from]
-	if !was.inherits && !was.lost.IsZero() {
-		was.inherits = true
-		l.gaps = append(l.gaps, float64(now.Sub(was.lost))/1e6)
-	}
-	l.judged.inherited++
-	// Told long enough before the loss to have been copied, and not just before the process was killed, which ends a wait.
-	if now.Before(was.until) && was.lost.Sub(was.told) > slack100 && (was.killed.Before(was.told) || was.killed.Sub(was.told) > slack100) {
-		l.judged.inWait++
-		l.t.Logf("%s: called by n%d, the heir of n%d, %v inside the wait that was told to that, %v before it was lost, at %v", id, i, from, was.until.Sub(now), was.lost.Sub(was.told), now.Sub(l.began))
-	}
+	most    int // messages in a call
 }
 
 // serve is the partner of sender i, for one message or several in a call: some calls fail, some break off, of which
@@ -141,26 +54,23 @@
 	}
 	began := time.Now()
 	l.mu.Lock()
-	l.judged.most = max(l.judged.most, len(ids))
+	l.most = max(l.most, len(ids))
 	chance := l.rng.IntN(1000)
+	l.mu.Unlock()
 	for _, id := range ids {
-		l.judge(i, id)
+		l.book.Called(began, i, id)
 		if chance >= 45 {
-			l.effects[id]++
-			l.end(id)
+			l.book.Effect(began, id)
 		}
 	}
-	l.mu.Unlock()
 	time.Sleep(20 * time.Millisecond)
-	l.mu.Lock()
 	for _, id := range ids {
-		l.out[id]--
+		l.book.Over(time.Now(), id, chance >= 85)
 	}
-	if at := &l.at[i]; chance < 5 && !at.lost.After(began) && !at.killed.After(began) { // else nobody hears it
-		at.told, at.until = time.Now(), time.Now().Add(waitTold)
-		l.history = append(l.history, fmt.Sprintf("%v: n%d is told a wait", time.Since(l.began).Round(time.Millisecond), i))
+	if chance < 5 {
+		l.book.Told(time.Now(), i, began, time.Now().Add(waitTold))
+		l.note("n%d is told a wait", i)
 	}
-	l.mu.Unlock()
 	switch {
 	case chance < 5:
 		w.Header().Set("Retry-After", fmt.Sprint(waitTold.Seconds()))
@@ -179,25 +89,8 @@
 	}
 }
 
-// end notes a final answer. The lock is held.
-func (l *losses) end(id string) {
-	if _, known := l.ended[id]; !known {
-		l.ended[id] = time.Now()
-	}
-	l.settled(id)
-}
-
-// settled notes that a message of a lost sender is ended. The lock is held.
-func (l *losses) settled(id string) {
-	from := origin(id)
-	if from < 0 || !l.at[from].left[id] {
-		return
-	}
-	was := &l.at[from]
-	if delete(was.left, id); len(was.left) == 0 {
-		l.settles = append(l.settles, float64(time.Since(was.lost))/1e6)
-	}
-}
+// waitTold is the wait that the partner tells.
+const waitTold = 1500 * time.Millisecond
 
 // hand hands messages in at one sender until stop, of both classes in turn.
 func (l *losses) hand(i int, stop <-chan struct{}) {
@@ -212,6 +105,7 @@
 			class = "pay"
 		}
 		id := fmt.Sprintf("%s-%d-%d", class, i, n)
+		l.book.Offered(id, i, class == "pay")
 		q, _ := http.NewRequest("POST", "http://"+l.rigs[i].addr+"/api", strings.NewReader("two guests, one night"))
 		for k, v := range map[string]string{"X-Trace-Id": id, "X-Qos": class, "X-Customer": "acme", "Idempotency-Key": "key-" + id,
 			"X-Expires-In": strconv.FormatFloat(left, 'f', 3, 64), "X-Route-To": "dest=5"} {
@@ -222,80 +116,10 @@
 			continue // not heard: nothing was promised
 		}
 		resp.Body.Close()
-		l.mu.Lock()
-		if resp.StatusCode == 202 {
-			l.handed[id] = time.Now().Add(time.Duration(left * float64(time.Second)))
-		} else {
-			l.refused[id] = true
-		}
-		l.mu.Unlock()
+		l.book.Answered(id, resp.StatusCode == 202, time.Now().Add(time.Duration(left*float64(time.Second))))
 	}
 }
 
-// ledger holds the ledgers side by side, of what is to be over by now.
-func (l *losses) ledger() (taken, lost, late, twice, repeated, sent int) {
-	ends := l.notices()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for id, until := range l.handed {
-		taken++
-		if l.effects[id] == 0 && len(ends[id]) == 0 {
-			lost++
-			l.t.Logf("lost: %s", id)
-		}
-		at, known := l.ended[id]
-		if n := ends[id]; len(n) > 0 && (!known || n[0].Before(at)) {
-			at, known = n[0], true
-		}
-		if known && at.After(until.Add(late300)) && l.takingOver(id, until, at) {
-			l.over = append(l.over, float64(at.Sub(until))/1e6)
-		} else if known && at.After(until.Add(late300)) {
-			late++
-			l.t.Logf("%v late: %s, at %v, delivered %d times, notices %v", at.Sub(until), id, at.Sub(l.began).Round(time.Millisecond), l.effects[id], ends[id])
-		}
-		if strings.HasPrefix(id, "pay") && l.effects[id] > 1 {
-			twice++
-			l.t.Logf("took effect %d times: %s", l.effects[id], id)
-		}
-		if l.effects[id] > 1 {
-			repeated++
-		}
-	}
-	for id := range l.refused {
-		if l.effects[id] > 0 {
-			sent++
-			l.t.Logf("refused and sent: %s", id)
-		}
-	}
-	return taken, lost, late, twice, repeated, sent
-}
-
-// takingOver reports whether a message's time was up while whoever had it was lost, stopped or cut off and its heir not
-// there yet: nobody can end it then, and it ends as soon as it is taken over. Another member's loss excuses nothing. The
-// lock is held.
-func (l *losses) takingOver(id string, until, at time.Time) bool {
-	return slices.ContainsFunc(l.blows, func(b blow) bool {
-		return slices.Contains(b.of, origin(id)) && b.at.Before(until.Add(late300)) && at.Sub(b.at) < takeOverMost
-	})
-}
-
-// takeOverMost is how long a taking over takes at the most with a lease of 1 s, link faults and an heir that is killed.
-const takeOverMost = 5 * time.Second
-
-// late300 is how long after its time a final answer still counts as in time.
-const late300 = 300 * time.Millisecond
-
-// notices are when the platform was told of each message.
-func (l *losses) notices() map[string][]time.Time {
-	l.team.mu.Lock()
-	defer l.team.mu.Unlock()
-	ends := map[string][]time.Time{}
-	for _, e := range l.ends {
-		ends[e.Message] = append(ends[e.Message], e.at)
-	}
-	return ends
-}
-
 // TestLosses loses machines with their disks under load and link faults: one after the other, or two at once where two
 // copies are waited for. SLIPTIDE_LOSSES sets how many; CI
 // plays three.
@@ -313,8 +137,7 @@
 const lossesEach = 50
 
 func lose(t *testing.T, n int, seed uint64) {
-	l := &losses{rng: rand.New(rand.NewPCG(seed, 24)), handed: map[string]time.Time{}, ended: map[string]time.Time{},
-		effects: map[string]int{}, refused: map[string]bool{}, out: map[string]int{}, at: make([]ownerLife, 5)}
+	l := &losses{rng: rand.New(rand.NewPCG(seed, 24)), book: ledger.New()}
 	two := seed/lossesEach%2 == 1 // every second team waits for two copies, and loses two machines at once
 	l.began = time.Now()
 	l.team = newTeamOf(t, fmt.Sprintf(`<copies enabled="true" count="2" needed="%d"/>`, map[bool]int{false: 1, true: 2}[two]), 5, (*team).relayed)
@@ -331,6 +154,7 @@
 			}
 		})
 	}
+	l.heard = func(e ending) { l.book.Notice(e.at, e.Message) }
 	stop := make(chan struct{})
 	l.drain(stop)
 	l.copying()
@@ -376,7 +200,7 @@
 		}
 		l.note("all hold their journals")
 		if i%10 == 9 {
-			t.Logf("%d losses: %d messages under way", i+1, l.open())
+			t.Logf("%d losses: %d messages under way", i+1, l.book.Open())
 		}
 	}
 	close(stop)
@@ -386,25 +210,22 @@
 	defer close(more)
 	l.drain(more)
 	l.await("every message has its final answer, or its time is long over", func() bool {
-		return l.open() == 0 || time.Since(ended) > 10*time.Second
+		return l.book.Open() == 0 || time.Since(ended) > 10*time.Second
 	})
-	taken, lost, late, twice, repeated, sent := l.ledger()
-	l.mu.Lock()
-	j := l.judged
+	v := l.book.Judge()
 	t.Logf("%d losses of a machine with its disk (needed %d; %v): %d taken on, %d lost, %d late, %d of a class that forbids it took effect twice, %d others repeated, %d refused and sent, "+
-		"%d calls by heirs, %d inside a wait, %d with another attempt out (%d of a class that forbids repeats); %d messages at most in a call",
-		n, map[bool]int{false: 1, true: 2}[two], counts, taken, lost, late, twice, repeated, sent, j.inherited, j.inWait, j.both, j.bothUnsafe, j.most)
-	t.Logf("%d messages whose time was up while they were taken over ended up to %.0f ms late", len(l.over), quantile(l.over, 1))
+		"%d calls by heirs, %d inside a wait, %d with another attempt out, %d ended more than once; %d messages at most in a call",
+		n, map[bool]int{false: 1, true: 2}[two], counts, v.Taken, v.Lost, v.Late, v.Twice, v.Repeated, v.Sent, v.ByHeirs, v.InWait, v.Both, v.EndedMore, l.most)
+	t.Logf("%d messages whose time was up while they were taken over ended up to %.0f ms late", len(v.Over), quantile(v.Over, 1))
 	t.Logf("from a loss to the heir's first call: p50 %.0f ms, max %.0f; until all is ended: p50 %.0f ms, max %.0f",
-		quantile(l.gaps, 0.5), quantile(l.gaps, 1), quantile(l.settles, 0.5), quantile(l.settles, 1))
-	l.mu.Unlock()
+		quantile(v.First, 0.5), quantile(v.First, 1), quantile(v.Settled, 0.5), quantile(v.Settled, 1))
 	for _, r := range l.rigs {
 		if strings.Contains(r.logs.String(), "differs from its owner's journal") {
 			t.Errorf("a copy was found to differ:\n%s", r.logs.String())
 		}
 	}
-	if lost+late+twice+sent+j.inWait+j.both > 0 || taken == 0 {
-		t.Log(strings.Join(l.history, "\n"))
+	if v.Broken() {
+		t.Logf("%s\n%s", strings.Join(l.history, "\n"), strings.Join(v.Faults, "\n"))
 		t.Error("the promise is broken")
 	}
 }
@@ -452,9 +273,7 @@
 		}
 	case 4:
 		name = "member cut off"
-		l.mu.Lock()
-		l.hit(a)
-		l.mu.Unlock()
+		l.book.Away(time.Now(), a, l.has(a))
 		for k, r := range l.relays {
 			if k[0] == a || k[1] == a {
 				r.Cut(true)
@@ -467,9 +286,7 @@
 		}
 	case 5:
 		name = "member stopped"
-		l.mu.Lock()
-		l.hit(a)
-		l.mu.Unlock()
+		l.book.Away(time.Now(), a, l.has(a))
 		p := l.rigs[a].proc
 		p.Process.Signal(syscall.SIGSTOP)
 		end = func() { p.Process.Signal(syscall.SIGCONT) }
@@ -498,18 +315,20 @@
 	if err := os.Mkdir(r.state, 0o700); err != nil {
 		l.t.Fatal(err)
 	}
-	ends := l.notices()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	was := &l.at[k]
-	l.hit(k)
-	was.lost, was.left = time.Now(), map[string]bool{}
-	for id := range l.handed {
-		if origin(id) == k && l.effects[id] == 0 && len(ends[id]) == 0 {
-			was.left[id] = true
+	l.book.Lost(time.Now(), k, l.has(k))
+}
+
+// has are the senders whose messages a member has taken over, by its log.
+func (l *losses) has(k int) (of []int) {
+	for _, line := range strings.Split(l.rigs[k].logs.String(), "\n") {
+		var e struct{ Message, Owner string }
+		if json.Unmarshal([]byte(line), &e) == nil && e.Message == "copies: took over" {
+			var from int
+			fmt.Sscanf(e.Owner, "n%d", &from)
+			of = append(of, from)
 		}
 	}
-	was.inherits = len(was.left) == 0 // nothing is waited for
+	return of
 }
 
 // killHeir kills the process of who takes over from a lost sender, at some step of it, and starts it again.
@@ -527,10 +346,7 @@
 					l.note("n%d, the heir of n%d, is killed", k, owner)
 					r.proc.Process.Signal(syscall.SIGCONT)
 					r.kill(syscall.SIGKILL)
-					l.mu.Lock()
-					l.at[k].killed = time.Now()
-					l.hit(k, owner)
-					l.mu.Unlock()
+					l.book.Killed(time.Now(), k, append(l.has(k), owner))
 					r.logs.Reset()
 					r.launch()
 					return
@@ -540,19 +356,6 @@
 	}
 }
 
-// open counts the messages without a final answer so far.
-func (l *losses) open() (n int) {
-	ends := l.notices()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for id := range l.handed {
-		if l.effects[id] == 0 && len(ends[id]) == 0 {
-			n++
-		}
-	}
-	return n
-}
-
 // TestMeasureCopies tells what copies cost: the time of the 202 and of the delivery at three loads on one sender, with
 // copies off and on, one after the other in one run.
 func TestMeasureCopies(t *testing.T) {
@@ -774,18 +577,3 @@
 		t.Logf("disk kept %v: %.2f of the worth of %d messages; the last is delivered after %.0f ms", disk, share/float64(len(handed)), len(handed), last)
 	})
 }
-
-// TestLatenessIsJudged: a blow to who had a message excuses its late end, for a while; one to another member does not.
-func TestLatenessIsJudged(t *testing.T) {
-	until := time.Now()
-	l := &losses{blows: []blow{{until.Add(-time.Second), []int{1, 3}}}}
-	for _, c := range []struct {
-		id     string
-		at     time.Duration
-		excuse bool
-	}{{"note-1-7", time.Second, true}, {"note-3-7", time.Second, true}, {"note-2-7", time.Second, false}, {"note-1-7", takeOverMost, false}} {
-		if got := l.takingOver(c.id, until, until.Add(c.at)); got != c.excuse {
-			t.Errorf("%s %v late: excused %v", c.id, c.at, got)
-		}
-	}
-}
