--- a/internal/fleet/copies/copies.go
+++ b/internal/fleet/copies/copies.go
@@ -56,6 +56,7 @@
 	waits  uint64 // the last batch that it was sent
 	sentAt int64  // of the oldest that is not answered
 	full   bool
+	ask    bool // whether what it has of the epoch before is all of it, ahead of bringing it that
 }
 
 // NewOwner returns the owner of a member's journal, which copies nothing until Begin.
@@ -63,7 +64,8 @@
 	return &Owner{name: name, incarnation: incarnation, peers: map[string]*peer{}, full: map[string]int64{}}
 }
 
-// Begin starts an epoch: the duty is held with that token. Every holder is brought everything anew. 0 ends it.
+// Begin starts an epoch: the duty is held with that token. A holder whose copy is what the journal has, as after a restart
+// in calm, goes on with it; any other is brought everything anew. 0 ends it.
 func (o *Owner) Begin(epoch uint64) {
 	if epoch == o.epoch {
 		return
@@ -71,7 +73,7 @@
 	o.epoch = epoch
 	o.out = nil
 	for _, p := range o.peers {
-		*p = peer{}
+		*p = peer{ask: true}
 	}
 }
 
@@ -93,7 +95,7 @@
 	}
 	for _, name := range names {
 		if o.peers[name] == nil {
-			o.peers[name] = &peer{}
+			o.peers[name] = &peer{ask: true}
 		}
 	}
 }
@@ -248,7 +250,7 @@
 // holder is to be brought everything.
 func (o *Owner) Take(now int64, snapshot func() []byte) []Out {
 	if o.epoch != 0 {
-		var c *pb.Copy
+		var all []byte
 		for _, name := range o.names() {
 			p := o.peers[name]
 			if p.full && now-o.full[name] > fullFor { // it may have room by now: all of it is sent
@@ -258,14 +260,10 @@
 			if p.full || p.reset != 0 && !late || p.reset == 0 && p.sentAt != 0 && now-p.sentAt <= resendAfter {
 				continue
 			}
-			if c == nil {
-				c = &pb.Copy{Owner: o.name, Incarnation: o.incarnation, Epoch: o.epoch, Seq: o.seq, Reset_: true, Upto: o.upto, Records: snapshot(), Clock: now/1e6 + o.ahead}
+			if all == nil {
+				all = snapshot()
 			}
-			p.reset, p.acked, p.waits = max(o.seq, 1), 0, max(o.seq, 1)
-			c.Seq = p.reset
-			p.sentAt = now
-			o.seq = max(o.seq, 1)
-			o.out = append(o.out, Out{name, copyFrame(c)})
+			o.bring(now, name, p, all)
 		}
 	}
 	out := o.out
@@ -273,6 +271,20 @@
 	return out
 }
 
+// bring asks a holder whether it has all that is live already, or brings it that.
+func (o *Owner) bring(now int64, name string, p *peer, all []byte) {
+	o.seq = max(o.seq, 1)
+	c := &pb.Copy{Owner: o.name, Incarnation: o.incarnation, Epoch: o.epoch, Seq: o.seq, Upto: o.upto, Clock: now/1e6 + o.ahead}
+	if p.ask {
+		c.Resume, c.Sum = true, Sum(all)
+	} else {
+		c.Reset_, c.Records = true, all
+	}
+	p.ask = false
+	p.reset, p.acked, p.waits, p.sentAt = o.seq, 0, o.seq, now
+	o.out = append(o.out, Out{name, copyFrame(c)})
+}
+
 // Next is when Take may have something by time alone; false: never.
 func (o *Owner) Next() (at int64, due bool) {
 	for name, p := range o.peers {
--- a/internal/fleet/copies/holder.go
+++ b/internal/fleet/copies/holder.go
@@ -42,7 +42,8 @@
 
 // The guards.
 const (
-	BreakHoles HolderBreak = 1 << iota // batches are taken with others missing before them
+	BreakHoles  HolderBreak = 1 << iota // batches are taken with others missing before them
+	BreakResume                         // what an earlier epoch left is gone on with, whatever it is
 )
 
 // NewHolder returns a holder of what a store has kept. boot names this start of the machine, by which the monotonic
@@ -115,6 +116,17 @@
 	case c.Reset_ && c.Epoch == old.Epoch && c.Seq < old.Seq: // late: more is kept
 		a.Seq = old.Seq
 		return a
+	case c.Resume:
+		// A copy of the same folder's journal that is just what the owner has now is gone on with, whatever its epoch.
+		if c.Incarnation != old.Incarnation || Sum(h.store.Live(c.Owner)) != c.Sum && h.Break&BreakResume == 0 {
+			a.Again = true
+			return a
+		}
+		if h.store.Mark(c.Owner, next) != nil {
+			return nil
+		}
+		h.kept[c.Owner] = &next
+		return a
 	case c.Reset_:
 		if h.used()-h.store.Size(c.Owner)+int64(len(c.Records)) > h.room {
 			a.Full = true
--- a/internal/fleet/copies/model/model.go
+++ b/internal/fleet/copies/model/model.go
@@ -209,7 +209,7 @@
 	resets  int64          // bytes that were copied anew, and
 	copied  int64          // in batches
 	heirs   map[string]int // messages taken over, by heir
-	twice   int            // heirs lost with their disks, each of which may have given a notice whose record was not copied yet
+	twice   int            // machines lost that had been up for moments: each may have given a notice whose record was not copied yet
 }
 
 // partnerEnd is the end of an attempt at the partner, whatever becomes of its answer.
--- a/internal/fleet/copies/model/runs.go
+++ b/internal/fleet/copies/model/runs.go
@@ -68,6 +68,38 @@
 	return w
 }
 
+// loseLagging kills an owner's process while frames are lost, so that its holders lag; it goes on in its folder, and is lost
+// with its disk soon after.
+func loseLagging(seed uint64, g Guards) *World {
+	w := newWorld(seed, 4, 2, 1, g)
+	w.share = 2
+	play := func(span time.Duration) {
+		for end := w.now + int64(span); w.now < end; {
+			w.traffic()
+			w.step()
+		}
+	}
+	play(2 * time.Second)
+	owner := w.members[seed%4]
+	w.loss = true
+	play(150 * time.Millisecond)
+	owner.up = false
+	owner.gone()
+	play(50 * time.Millisecond)
+	w.loss = false
+	owner.start()
+	play(100 * time.Millisecond)
+	owner.up = false
+	owner.gone()
+	owner.lose()
+	w.twice = 1 // it may have given a notice just before
+	play(1500 * time.Millisecond)
+	owner.start()
+	w.until(time.Duration(w.now) + 4*time.Second)
+	w.judge(true)
+	return w
+}
+
 // loseTwo loses an owner and one of its holders with their disks at once, where the 202 waits for two copies.
 func loseTwo(seed uint64) *World {
 	w := newWorld(seed, 5, 2, 2, Guards{})
--- a/internal/fleet/copies/scrub_test.go
+++ b/internal/fleet/copies/scrub_test.go
@@ -91,3 +91,41 @@
 		t.Error("it has room and everything, and counts as full")
 	}
 }
+
+// TestRestartResumes: an owner that starts again with what its holder has sends none of it; with anything else it does.
+func TestRestartResumes(t *testing.T) {
+	journal := []byte{1, 2}
+	snapshot := func() []byte { return journal }
+	h := NewHolder(memStore{}, 1<<20, 1, nil)
+	epoch, now := uint64(2), int64(0)
+	start := func(incarnation uint64) (bytes int) {
+		o := NewOwner("a", incarnation)
+		epoch++
+		o.Begin(epoch)
+		o.Holders([]string{"b"})
+		for range 3 {
+			now += resendAfter + 1
+			for _, out := range o.Take(now, snapshot) {
+				bytes += len(out.Frame.GetCopy().Records)
+				o.Copied(now, "b", h.Copy(now, out.Frame.GetCopy()))
+			}
+		}
+		if k, _ := h.Kept("a"); !o.Synced("b") || k.Epoch != epoch || k.Incarnation != incarnation {
+			t.Errorf("epoch %d: not whole: %+v", epoch, k)
+		}
+		return bytes
+	}
+	for _, c := range []struct {
+		what        string
+		incarnation uint64
+		bytes       int
+	}{{"at first", 1, 2}, {"again", 1, 0}, {"with another folder", 2, 2}} {
+		if n := start(c.incarnation); n != c.bytes {
+			t.Errorf("%s: %d bytes are sent, want %d", c.what, n, c.bytes)
+		}
+	}
+	journal = append(journal, 3) // its last batch did not come
+	if n := start(2); n != 3 {
+		t.Errorf("with more than the holder has: %d bytes are sent, want 3", n)
+	}
+}
