Discovery: lists up to 8 MiB are read, and an ask that was silent leaves less pause

Cause: two faults, both read in the code and forced on loopback. http1.MaxBody (64 KiB) bounded lists of endpoints too, so that some 500 endpoints and more ended in "discovery does not answer" with nobody served. And pace.after, spread and settled drew a pause of up to 5 s whatever the failed ask had cost: a watch that was silent for 3.5 s while discovery was down was followed up 8.5 s after it went out, where a change counts as told 6 s after discovery had it.

Change: http1.NewReaderBound takes a bound, discovery's is MaxList; past it the log says once what is too long and what is allowed, and nothing that was known changes. Endpoints past maxNames were passed over without a word; the log says so once.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -14,6 +14,9 @@
 
 const dialTimeout = time.Second
 
+// MaxList is the length in bytes of the longest list of endpoints that is read: some 60,000 endpoints.
+const MaxList = 8 << 20
+
 // client is one connection to the agent, opened at need.
 type client struct {
 	nc net.Conn
@@ -83,7 +86,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c.nc, c.rd = nc, http1.NewReader(nc)
+		c.nc, c.rd = nc, http1.NewReaderBound(nc, MaxList)
 	}
 	nc := c.nc
 	end, _ := ctx.Deadline()
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -48,8 +49,12 @@
 	version uint64
 	synced  bool   // the version stands for all that has been told, and nothing was missed since
 	of      string // the agent whose version it is
+	full    bool   // an endpoint past maxNames has been reported
 }
 
+// errListTooLong is the error of a list over MaxList. What was known stays in force.
+var errListTooLong = fmt.Errorf("the list of endpoints is over %d bytes, the longest that is read: what was known stays in force", MaxList)
+
 // NewWatch returns a Watch on the agent at addr. The seed spreads its calls over time.
 func NewWatch(addr string, set *policy.Settings, seed uint64, log zerolog.Logger, update func(List)) *Watch {
 	return &Watch{Settings: set, Log: log, Update: update, agent: newClient(addr), pace: newPace(set, seed), ids: map[string]uint32{}}
@@ -81,20 +86,28 @@
 // the pace that the whole fleet settles at, until one is answered.
 func (w *Watch) Run(ctx context.Context) {
 	defer w.agent.close()
-	failed, answered := 0, false
+	failed, answered, tooLong := 0, false, false
 	for ctx.Err() == nil {
+		began := time.Now()
 		err := w.once(ctx)
 		if err == nil {
 			if failed > 0 {
 				w.Log.Info().Int("tries", failed).Msg("discovery answers again")
 			}
-			failed, answered = 0, true
+			failed, answered, tooLong = 0, true, false
 			continue
 		}
-		if failed++; failed == 1 {
+		failed++
+		switch {
+		case errors.Is(err, errListTooLong):
+			if !tooLong {
+				w.Log.Error().Err(err).Int("bytes_allowed", MaxList).Msg("list of endpoints too long")
+			}
+			tooLong = true
+		case failed == 1:
 			w.Log.Warn().Err(err).Msg("discovery does not answer")
 		}
-		if !pause(ctx, w.pace.next(failed, answered)) {
+		if !pause(ctx, w.pace.next(failed, answered, time.Since(began))) {
 			return
 		}
 	}
@@ -108,6 +121,9 @@
 	}
 	request := append(http1.AppendRequest(nil, "GET", path, host), "\r\n"...)
 	m, err := w.agent.do(ctx, host, request, timeout)
+	if errors.Is(err, http1.ErrTooLarge) {
+		err = errListTooLong
+	}
 	if err != nil {
 		w.synced = false
 		return err
@@ -169,6 +185,7 @@
 	id, ok := w.ids[name]
 	if !ok {
 		if len(w.ids) >= maxNames {
+			w.reportFull(name)
 			return Endpoint{}, false
 		}
 		id = uint32(len(w.ids) + 1)
@@ -185,6 +202,15 @@
 	return e, true
 }
 
+// reportFull logs, once, that an endpoint is passed over since no more are known.
+func (w *Watch) reportFull(name string) {
+	if w.full {
+		return
+	}
+	w.full = true
+	w.Log.Error().Str("endpoint", name).Int("endpoints_allowed", maxNames).Msg("too many endpoints: this and further new ones are passed over")
+}
+
 // position is the place of name in list, or one past its end.
 func position(list []string, name string) int {
 	if i := slices.Index(list, name); i >= 0 {
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -143,7 +143,7 @@
 			t.Errorf("%d senders, within %g: %v, want %v", c.senders, c.within, p.most, c.want)
 		}
 		for n := 1; n < 100; n++ {
-			if d := p.after(n); d < pauseLeast/2 || d > p.most {
+			if d := p.after(n, p.most); d < pauseLeast/2 || d > p.most {
 				t.Errorf("%d senders: pause %v after %d failures", c.senders, d, n)
 			}
 		}
@@ -162,7 +162,7 @@
 		at := 0.0 // the first ask goes at once: a pause before it would be a gap in the watch
 		for n := 1; at < seconds; n++ {
 			asks = append(asks, at)
-			at += p.next(n, false).Seconds()
+			at += p.next(n, false, 0).Seconds()
 		}
 	}
 	sort.Float64s(asks)
@@ -216,7 +216,7 @@
 		p := newPace(&policy.Settings{Senders: senders, Subscribe: true, AskWithin: 10000}, 1)
 		first, second := time.Duration(0), time.Duration(0)
 		for range 1000 {
-			first, second = max(first, p.after(1)), max(second, p.after(2))
+			first, second = max(first, p.next(1, true, watchFor+watchGrace)), max(second, p.next(2, true, listTimeout))
 		}
 		if at := watchFor + watchGrace + first + listTimeout + second + way; at > silenceMost {
 			t.Errorf("%d senders: the answer comes %v after the silence began", senders, at)
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -1,5 +1,6 @@
 // Package http1 reads and writes HTTP/1.1 messages over bufio, for both sides of
-// a connection. Heads and bodies are bounded. A message read is a set of slices
+// a connection. Heads and bodies are bounded, bodies by MaxBody unless a Reader
+// is made with a bound of its own. A message read is a set of slices
 // of the buffer that it was read into, valid until the next read.
 package http1
 
@@ -79,14 +80,18 @@
 type Reader struct {
 	br  *bufio.Reader
 	src io.Reader
+	max int // bytes of a body at most
 	msg Message
 	big []byte // holds a message that does not fit the buffer
 	use int    // bytes of the buffer that the last message took
 }
 
-// NewReader returns a Reader on src.
-func NewReader(src io.Reader) *Reader {
-	return &Reader{br: bufio.NewReaderSize(src, bufferSize), src: src}
+// NewReader returns a Reader on src that reads bodies of up to MaxBody bytes.
+func NewReader(src io.Reader) *Reader { return NewReaderBound(src, MaxBody) }
+
+// NewReaderBound returns a Reader on src that reads bodies of up to maxBody bytes; a longer one is ErrTooLarge.
+func NewReaderBound(src io.Reader, maxBody int) *Reader {
+	return &Reader{br: bufio.NewReaderSize(src, bufferSize), src: src, max: maxBody}
 }
 
 // Buffered reports whether bytes of a further message have arrived.
@@ -142,7 +147,7 @@
 		return ErrMalformed // nothing was asked to change
 	case !request && m.Status < 200:
 		n = 0 // never has a body: reading to the end would wait for the real answer, and beyond
-	case n > MaxBody:
+	case n > r.max:
 		return ErrTooLarge
 	case m.chunked && request:
 		return ErrNoLength
@@ -257,7 +262,7 @@
 		if n == 0 {
 			break
 		}
-		if len(body)+int(n) > MaxBody {
+		if len(body)+int(n) > r.max {
 			return ErrTooLarge
 		}
 		at := len(body)
@@ -286,11 +291,11 @@
 // untilEnd reads a body that ends with the connection.
 func (r *Reader) untilEnd(head int) error {
 	m := &r.msg
-	raw, err := io.ReadAll(io.LimitReader(r.br, int64(head+MaxBody+1)))
+	raw, err := io.ReadAll(io.LimitReader(r.br, int64(head+r.max+1)))
 	if err != nil {
 		return cut(err)
 	}
-	if len(raw) > head+MaxBody {
+	if len(raw) > head+r.max {
 		return ErrTooLarge
 	}
 	if err := m.parse(raw[:head], false); err != nil {
