Outbound: a withheld call is reported once its connection is parked

Cause: conn.serve told a call that may not run any more as moot before it parked the connection (withheld, then park). A call that this outcome set free found no idle connection and opened a second one; TestWithheld, which counts connections, failed now and then for it. Read in the code; ruled out: the other ends of serve, which park first.

Change: serve drops the call, parks, then reports. TestWithheld checks at the report that the connection is parked: without the change it finds 0, every time; with it the package passes under -race.

--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -458,8 +458,12 @@
 	deadline := c.SentAt.Add(c.Timeout)
 	k.nc.SetDeadline(deadline)
 	k.wbuf = c.append(k.wbuf[:0])
-	if k.pool.withheld(c) || !c.begin() {
-		k.pool.park(k) // dropped while it waited for the connection, which is as good as any
+	if barred := c.barred(); barred || !c.begin() {
+		dropped := barred && c.Drop()
+		k.pool.park(k) // the call was dropped while it waited for the connection, which is as good as any
+		if dropped {   // told last: the next call, which this outcome may set free, has to find the connection
+			k.pool.end(c, policy.Moot)
+		}
 		return true
 	}
 	k.nc.SetWriteDeadline(c.earlier(deadline))
--- a/internal/outbound/outbound_test.go
+++ b/internal/outbound/outbound_test.go
@@ -176,12 +176,19 @@
 	return len(p.idle[endpoint])
 }
 
-// TestWithheld: a call that may not run any more when its connection is there is never written, and says so.
+// TestWithheld: a call that may not run any more when its connection is there is never written, and says so once the
+// connection is parked: a call that this outcome sets free finds it, where it opened a second one before.
 func TestWithheld(t *testing.T) {
 	addr, conns := peer(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	ended := make(chan []policy.Event, 1)
-	p := NewPool(Options{MaxConns: 4, KeepAlive: time.Second, DialTimeout: time.Second, X0: -1, X1: -1,
-		Done: func(_ *Call, events []policy.Event) { ended <- events }})
+	var p *Pool
+	p = NewPool(Options{MaxConns: 4, KeepAlive: time.Second, DialTimeout: time.Second, X0: -1, X1: -1,
+		Done: func(_ *Call, events []policy.Event) {
+			if n := p.idleConns(7); n != 1 {
+				t.Errorf("%v is told with %d connections parked, want 1", events[0].Outcome, n)
+			}
+			ended <- events
+		}})
 	for _, may := range []bool{false, true} {
 		c := &Call{Endpoint: 7, Addr: addr, SentAt: time.Now(), Timeout: time.Second, Items: []Item{{ID: 3, Trace: "t"}}, May: func() bool { return may }}
 		p.Go(c)
