Voter: "voters changed" is noted when the change is in force, not when it begins

Cause: applyVoters noted every change that it applied. A voter that comes back with a new number swaps two members at once, which Raft does by a joint configuration; the note came as that began, while the old majority was still needed. Whoever took another voter away on the note (TestProcesses does, a member of staff may) could leave no majority.

Change: the note waits until no outgoing voters are left (Voter.ChangingVoters). founding.go, voter.go.

--- a/internal/fleet/model/model.go
+++ b/internal/fleet/model/model.go
@@ -84,6 +84,8 @@
 	Frames int    // sent
 	Grants int    // tokens that were acted with
 	Leads  int    // times that a voter began to lead
+	// Noted, if set, is told what a voter notes, while it notes it.
+	Noted  func(voter int, what string)
 	heldBy map[string]int
 }
 
@@ -208,6 +210,9 @@
 				if what == voter.NoteLeads {
 					p.w.Leads++
 				}
+				if p.w.Noted != nil {
+					p.w.Noted(p.n, what)
+				}
 			}}, p.local())
 		if err != nil {
 			p.w.Breach = "a voter does not start: " + err.Error()
--- /dev/null
+++ b/internal/fleet/model/voters_test.go
@@ -0,0 +1,36 @@
+package model
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"sliptide/internal/fleet/voter"
+)
+
+// TestVotersChangedMeansInForce: a voter that lost its disk gets its vote back by a change that needs both the old and
+// the new majority while it is under way. It is noted as made only when it is in force: whoever took a voter away on
+// the note, as an operator or a test may, could leave the group without a majority for good.
+func TestVotersChangedMeansInForce(t *testing.T) {
+	noted := 0
+	for seed := range uint64(5) {
+		w := New(options(seed))
+		w.Noted = func(n int, what string) {
+			if !strings.HasPrefix(what, voter.NoteVotersChanged) {
+				return
+			}
+			noted++
+			if w.procs[n].voter.ChangingVoters() {
+				t.Errorf("seed %d: voter %d notes %q while the change is under way", seed, n, what)
+			}
+		}
+		w.Schedule([]Fault{{Kind: KillDisk, Who: 1, At: 3 * time.Second, For: time.Second}})
+		w.Run(20 * time.Second)
+		if w.Breach != "" {
+			t.Fatal(w.Breach)
+		}
+	}
+	if noted < 5 {
+		t.Errorf("a change was noted %d times in 5 runs", noted)
+	}
+}
--- a/internal/fleet/voter/founding.go
+++ b/internal/fleet/voter/founding.go
@@ -214,7 +214,11 @@
 	}
 	v.guard(func() { v.conf = v.rn.ApplyConfChange(cc) })
 	if len(cc.GetChanges()) > 0 {
-		v.o.Note("voters changed: "+name, nil)
+		v.changed = name
+	}
+	if v.changed != "" && !v.ChangingVoters() {
+		v.o.Note(NoteVotersChanged+v.changed, nil)
+		v.changed = ""
 	}
 	if v.rn != nil && len(v.conf.GetLearners()) > 0 {
 		// Whoever is new begins with a snapshot, and takes none that does not name it.
--- a/internal/fleet/voter/voter.go
+++ b/internal/fleet/voter/voter.go
@@ -54,8 +54,13 @@
 	Break Break
 }
 
-// NoteLeads is what is noted when a voter begins to lead.
-const NoteLeads = "leads"
+// What is noted: that a voter begins to lead, and, before the name of the voter that was let in, that a change of the
+// voters is in force. Noted when the change began, it told staff that a voter may go while the old majority, too, was
+// still needed.
+const (
+	NoteLeads         = "leads"
+	NoteVotersChanged = "voters changed: "
+)
 
 // Break is a guard that is taken out.
 type Break uint
@@ -99,6 +104,7 @@
 	retryAt   int64
 	found     founding
 	joinAt    int64
+	changed   string // the voter that a change under way lets in; empty: none is
 }
 
 type pending struct {
@@ -693,6 +699,10 @@
 	return v.rn != nil && v.conf != nil && slices.Contains(v.conf.GetVoters(), v.o.Log.Identity().Raft)
 }
 
+// ChangingVoters reports whether a change of the voters has begun and is not yet in force: a majority of the old ones
+// and one of the new ones are both needed meanwhile (Raft's joint consensus).
+func (v *Voter) ChangingVoters() bool { return v.conf != nil && len(v.conf.GetVotersOutgoing()) > 0 }
+
 // Leads reports whether this voter leads, as far as it knows.
 func (v *Voter) Leads() bool { return v.leads() }
 
