Policy: what a full holding room gives back is ranked once, not once a message

Cause: relieve looked through the longest queue for each message that it gave back, and took it off that queue by another look. Measured on the untouched module: 2,000 restored messages 44 ms, 32,000 8.0 s; 100,000 kept a sender silent for long.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -285,13 +285,16 @@
 // queue first: one destination's outage must not get the others' messages turned away. Harm: a backlog that
 // would have drained in time is cut; only above holdShare.
 func (s *Sender) relieve() {
-	for s.set.MaxHeld > 0 && float64(s.held) > holdShare*float64(s.set.MaxHeld) {
-		longest := s.longest()
-		if longest == nil {
-			return
+	excess := s.held - int(holdShare*float64(s.set.MaxHeld))
+	if s.set.MaxHeld <= 0 || excess <= 0 {
+		return
+	}
+	for i, n := range shorten(s.waiting, excess) {
+		d := s.waiting[i]
+		for _, m := range s.leastWorth(d.queue, n) {
+			s.finish(m)
 		}
-		byWorth := func(a, b *message) int { return cmp.Compare(s.worth(a), s.worth(b)) }
-		s.finish(slices.MinFunc(longest.queue, byWorth))
+		s.compact(d)
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -182,6 +182,7 @@
 	notBefore float64
 	sick      bool // was held through an outage: its wait says nothing of the load
 	ended     bool
+	picked    bool // given back by relieve, which takes all that it picks off their queue at once
 }
 
 // keyQueue is the order of the messages of one key.
@@ -273,6 +274,9 @@
 }
 
 func (s *Sender) unqueue(m *message) {
+	if m.picked {
+		return
+	}
 	m.dest.queue = without(m.dest.queue, m)
 }
 
@@ -645,16 +649,6 @@
 // between draws evenly from a range.
 func (s *Sender) between(lo, hi float64) float64 { return lo + (hi-lo)*s.rng.Float64() }
 
-// longest is the destination with the longest queue, or nil if nothing is queued.
-func (s *Sender) longest() (longest *dest) {
-	for _, d := range s.waiting {
-		if len(d.queue) > 0 && (longest == nil || len(d.queue) > len(longest.queue)) {
-			longest = d
-		}
-	}
-	return longest
-}
-
 // arrive counts a message handed in; an idle controller starts afresh.
 func (c *controller) arrive(now float64) {
 	if now-c.seen > ageAfter {
