--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 lint:
 	@test -z "$$(gofmt -l cmd example internal policy)" || { gofmt -l cmd example internal policy; exit 1; }
 	go vet ./...
+	go tool staticcheck ./...
 
 fuzz: ## the parsers that read what others wrote, half a minute each
 	go test ./internal/http1 -run '^$$' -fuzz FuzzMessages -fuzztime 30s
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -54,9 +54,9 @@
 	Weight   uint32
 	Terms    lease.Terms
 	Election time.Duration
-	Hash     uint64 // of what must be alike in all members' files
-	Client   *tls.Config
-	Server   *tls.Config
+	Hash     uint64      // of what must be alike in all members' files
+	Client   *tls.Config `json:"-"`
+	Server   *tls.Config `json:"-"`
 }
 
 // Self is this member's own line.
--- a/internal/fleet/model/model.go
+++ b/internal/fleet/model/model.go
@@ -95,19 +95,18 @@
 }
 
 type proc struct {
-	w        *World
-	n        int
-	name     string
-	rate     float64
-	offset   int64
-	disk     *memDisk
-	voter    *voter.Voter
-	session  *session.Session
-	up       bool
-	epoch    int   // of the process: a start is a new one
-	stopped  int64 // until
-	lastTick int64
-	inbox    []inFrame // while it is stopped
+	w       *World
+	n       int
+	name    string
+	rate    float64
+	offset  int64
+	disk    *memDisk
+	voter   *voter.Voter
+	session *session.Session
+	up      bool
+	epoch   int       // of the process: a start is a new one
+	stopped int64     // until
+	inbox   []inFrame // while it is stopped
 }
 
 type inFrame struct {
@@ -229,8 +228,6 @@
 	p.w.after(time.Duration(p.w.rng.Int64N(int64(100*time.Millisecond))), func() { p.act(epoch) })
 }
 
-func (p *proc) running(epoch int) bool { return p.up && p.epoch == epoch && p.w.now >= p.stopped }
-
 func (p *proc) tick(epoch int) {
 	if !p.up || p.epoch != epoch {
 		return
--- a/internal/intake/rig_test.go
+++ b/internal/intake/rig_test.go
@@ -216,9 +216,6 @@
 	return g
 }
 
-// isReset tells a reset from other ends.
-func isReset(err error) bool { return errors.Is(err, syscall.ECONNRESET) }
-
 // delayed reports whether the system may hold small writes back.
 func delayed(t *testing.T, nc *net.TCPConn) bool {
 	raw, err := nc.SyscallConn()
--- a/internal/telemetry/assemble.go
+++ b/internal/telemetry/assemble.go
@@ -54,7 +54,6 @@
 	wait  float64 // since when it waits; 0: a call is out with it
 	cause Cause
 	out   Record // the attempt that is out
-	end   float64
 }
 
 // Assembler makes traces and metrics of records. It is for one goroutine.
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -28,7 +28,8 @@
 			t.Errorf("%q passes", bad)
 		}
 	}
-	if traceOf("9b1f03aa5c7e2d41", nil) != traceOf("9b1f03aa5c7e2d41", nil) || traceOf("a", nil) == traceOf("b", nil) {
+	first, again := traceOf("9b1f03aa5c7e2d41", nil), traceOf("9b1f03aa5c7e2d41", nil)
+	if first != again || traceOf("a", nil) == traceOf("b", nil) {
 		t.Error("a trace id is not that of the message's id")
 	}
 }
--- a/test.sh
+++ b/test.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# All checks of the repository: format, vet, the size of the policy, tests under the race detector.
+# All checks of the repository: format, vet, staticcheck, the size of the policy, tests under the race detector.
 # It installs what they need beside Go: xmllint, which judges the operators' file by its schema.
 set -euo pipefail
 cd "$(dirname "$0")"
@@ -34,4 +34,5 @@
 	exit 1
 fi
 go vet ./...
+go tool staticcheck ./...
 go test -race -count=1 ./...
