Bounds of lists, destinations, links and members are exported by name

Only names change: discovery.MaxEndpoints, sender.MaxDestinations, link.MaxLinks and MaxFrame, operator.MaxMembers. Nothing was measured.

--- a/internal/discovery/bounds_test.go
+++ b/internal/discovery/bounds_test.go
@@ -149,11 +149,11 @@
 	var log syncBuffer
 	taken := 0
 	w := NewWatch("127.0.0.1:1", &policy.Settings{}, 1, zerolog.New(&log), func(l List) { taken = len(l.Entries) })
-	if err := w.Known([]byte(listOf(1, maxNames+2))); err != nil {
+	if err := w.Known([]byte(listOf(1, MaxEndpoints+2))); err != nil {
 		t.Fatal(err)
 	}
-	if n := strings.Count(log.String(), "too many endpoints"); taken != maxNames || n != 1 {
-		t.Errorf("%d endpoints taken, want %d; said %d times:\n%s", taken, maxNames, n, log.String())
+	if n := strings.Count(log.String(), "too many endpoints"); taken != MaxEndpoints || n != 1 {
+		t.Errorf("%d endpoints taken, want %d; said %d times:\n%s", taken, MaxEndpoints, n, log.String())
 	}
 }
 
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -20,9 +20,11 @@
 	watchFor    = 3 * time.Second // a watch is held so long: short, so that two asks that fall silent are noticed in time
 	watchGrace  = 500 * time.Millisecond
 	listTimeout = time.Second
-	maxNames    = 1 << 14
 )
 
+// MaxEndpoints is how many endpoints are known at most, over the life of a process; further ones are passed over.
+const MaxEndpoints = 1 << 14
+
 // Endpoint is one line of the list, with where to reach it.
 type Endpoint struct {
 	policy.Endpoint
@@ -49,7 +51,7 @@
 	version uint64
 	synced  bool   // the version stands for all that has been told, and nothing was missed since
 	of      string // the agent whose version it is
-	full    bool   // an endpoint past maxNames has been reported
+	full    bool   // an endpoint past MaxEndpoints has been reported
 }
 
 // errListTooLong is the error of a list over MaxList. What was known stays in force.
@@ -184,7 +186,7 @@
 	}
 	id, ok := w.ids[name]
 	if !ok {
-		if len(w.ids) >= maxNames {
+		if len(w.ids) >= MaxEndpoints {
 			w.reportFull(name)
 			return Endpoint{}, false
 		}
@@ -208,7 +210,7 @@
 		return
 	}
 	w.full = true
-	w.Log.Error().Str("endpoint", name).Int("endpoints_allowed", maxNames).Msg("too many endpoints: this and further new ones are passed over")
+	w.Log.Error().Str("endpoint", name).Int("endpoints_allowed", MaxEndpoints).Msg("too many endpoints: this and further new ones are passed over")
 }
 
 // position is the place of name in list, or one past its end.
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -28,15 +28,19 @@
 )
 
 const (
-	queueMost  = 256     // frames that wait on a link
-	frameMost  = 8 << 20 // bytes of a frame
-	linksMost  = 1100    // links that a voter accepts
+	queueMost  = 256 // frames that wait on a link
 	pingEvery  = 250 * time.Millisecond
 	silentMost = 1500 * time.Millisecond // a link that says nothing for so long is closed
 	dialLeast  = 50 * time.Millisecond   // before a further try, doubled up to
 	dialMost   = time.Second
 )
 
+// Bounds of a member's links.
+const (
+	MaxFrame = 8 << 20 // bytes of a frame
+	MaxLinks = 1100    // links that a voter accepts
+)
+
 // Options are what a Net works with.
 type Options struct {
 	Self        string
@@ -83,7 +87,7 @@
 func New(o Options) *Net {
 	n := &Net{o: o, links: map[string]*link{}, dials: map[string]bool{}}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	opts := []grpc.ServerOption{grpc.MaxRecvMsgSize(frameMost), grpc.MaxConcurrentStreams(16), grpc.ConnectionTimeout(2 * time.Second),
+	opts := []grpc.ServerOption{grpc.MaxRecvMsgSize(MaxFrame), grpc.MaxConcurrentStreams(16), grpc.ConnectionTimeout(2 * time.Second),
 		grpc.ReadBufferSize(4 << 10), grpc.WriteBufferSize(4 << 10)}
 	if o.Server != nil {
 		opts = append(opts, grpc.Creds(credentials.NewTLS(o.Server)))
@@ -200,7 +204,7 @@
 		creds = credentials.NewTLS(with)
 	}
 	return grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(creds),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(frameMost)), grpc.WithReadBufferSize(4<<10), grpc.WithWriteBufferSize(4<<10),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxFrame)), grpc.WithReadBufferSize(4<<10), grpc.WithWriteBufferSize(4<<10),
 		grpc.WithNoProxy(), grpc.WithDisableServiceConfig(),
 		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: silentMost, Backoff: backoff.Config{BaseDelay: dialLeast, Multiplier: 2, Jitter: 0.2, MaxDelay: dialMost}}))
 }
@@ -253,7 +257,7 @@
 		return fmt.Errorf("%q is no member of this fleet", h.Member)
 	case h.Settings != n.o.Settings:
 		return fmt.Errorf("%q has other fleet settings: voters, lease and drift must be alike in all operators' files", h.Member)
-	case len(n.links) >= linksMost:
+	case len(n.links) >= MaxLinks:
 		return errFull
 	}
 	if l := n.links[h.Member]; l != nil && l.incarnation != h.Incarnation {
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -196,6 +196,9 @@
 	}
 }
 
+// MaxMembers is how many members a file may list.
+const MaxMembers = 1000
+
 // check finds what a schema cannot say.
 func (f *Fleet) check(storms bool) string {
 	if !f.Enabled {
@@ -207,8 +210,8 @@
 		return fmt.Sprintf("fleet: %d members have voter=\"true\"; allowed: 3 or 5, so that a majority stays when one or two are lost", voters)
 	case f.Minimum != 0 && (f.Minimum > voters || 2*f.Minimum <= voters):
 		return fmt.Sprintf("fleet: voter-minimum=\"%d\" of %d voters; allowed: %d to %d", f.Minimum, voters, voters/2+1, voters)
-	case len(f.Members) > 1000:
-		return fmt.Sprintf("fleet: %d members; allowed: 1000 at most", len(f.Members))
+	case len(f.Members) > MaxMembers:
+		return fmt.Sprintf("fleet: %d members; allowed: %d at most", len(f.Members), MaxMembers)
 	case f.Duties.Lease < 2*f.Duties.Election:
 		return fmt.Sprintf("fleet: duties: lease=%q is shorter than two election times of %v; allowed: %v or more, or each election would end every lease", f.Duties.Lease, f.Duties.Election, 2*f.Duties.Election)
 	case f.Copies.Enabled && f.Copies.Needed > f.Copies.Count:
--- a/internal/sender/lists.go
+++ b/internal/sender/lists.go
@@ -69,7 +69,7 @@
 		ev.List = append(ev.List, e.Endpoint)
 		listed[e.ID] = e.State == policy.Ready
 		if e.State != policy.Gone {
-			if len(s.dests) < maxDests {
+			if len(s.dests) < MaxDestinations {
 				s.dests[e.Dest] = true
 			}
 		}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -27,11 +27,13 @@
 	stopAfter = 3000 * time.Millisecond // and the sender leaves at the latest then
 	pastFor   = 30000.0                 // milliseconds that the id of a message that is over is known
 	pastMost  = 8192                    // ids of these, at most
-	maxDests  = 1 << 12                 // destinations that are known, at most
 	dialMost  = 500.0                   // milliseconds that a connection may take to come up
 	lateLeast = 1000.0                  // retry-after where there is no room, in milliseconds
 )
 
+// MaxDestinations is how many destinations a sender knows at most; a message for a further one is refused.
+const MaxDestinations = 1 << 12
+
 // errStopped is the error of an order that came after the sender left.
 var errStopped = errors.New("the sender has stopped")
 
--- a/internal/sender/upgrade.go
+++ b/internal/sender/upgrade.go
@@ -62,7 +62,7 @@
 func (s *Sender) holdList(l *discovery.List) {
 	for _, e := range l.Entries {
 		s.names[e.Name] = e.ID
-		if e.State != 0 && len(s.dests) < maxDests {
+		if e.State != 0 && len(s.dests) < MaxDestinations {
 			s.dests[e.Dest] = true
 		}
 	}
