--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint fuzz crash h2-chaos storms telemetry duties duties-faults duties-gaps copies-faults copies-runs copies-size shares copies-price fleet copies measure bench generate run toy clean
+.PHONY: build test lint fuzz crash h2-chaos storms telemetry duties duties-faults duties-gaps copies-faults copies-runs copies-size shares copies-price fleet copies measure bench generate run toy clean capacity capacity-page
 
 build: ## the program and the simulator's adapter, into bin/
 	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
@@ -63,6 +63,12 @@
 bench: ## what a snapshot, a refusal in a storm, a traced message and an event of the lab cost
 	go test ./internal/knowledge/store ./internal/storm ./internal/telemetry ./internal/lab/world -run '^$$' -bench . -benchmem
 
+capacity: build ## what each part grows by, measured, and the tables of docs/CAPACITY.md (about five minutes)
+	bin/sliptide-lab capacity
+
+capacity-page: build ## the tables of docs/CAPACITY.md from what was measured last, after a change of experiments/target.xml
+	bin/sliptide-lab capacity --again
+
 generate: ## the schema and the protobuf code, after their sources have changed
 	go run ./cmd/sliptide schema > deploy/sliptide.xsd.new && mv deploy/sliptide.xsd.new deploy/sliptide.xsd
 	go run ./cmd/sliptide-lab schema > experiments/experiment.xsd.new && mv experiments/experiment.xsd.new experiments/experiment.xsd
--- /dev/null
+++ b/internal/lab/capacity/capacity_test.go
@@ -0,0 +1,179 @@
+package capacity
+
+import (
+	"context"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+)
+
+const targetFile = "../../../experiments/target.xml"
+
+func target(t *testing.T) *Target {
+	t.Helper()
+	read, err := LoadTarget(targetFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return read
+}
+
+func TestTarget(t *testing.T) {
+	read := target(t)
+	if read.Senders != 14000 || math.Round(read.EventsOfSender()) != 1143 || read.Down() != 46000 || math.Round(read.BacklogOfSender()/1e4) != 607 {
+		t.Errorf("%+v", read)
+	}
+	text, err := os.ReadFile(targetFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, bad := range []struct{ from, to, want string }{
+		{`count="2000000"`, `count="many"`, "decimal number"},
+		{`senders="14000" `, "", "senders"},
+		{`<backlog events="85000000000"/>`, "", "<backlog> is missing or states 0"},
+		{`<backlog events="85000000000"/>`, `<backlog events="0"/>`, "<backlog> is missing or states 0"},
+		{`ready-within="10s"`, `ready-within="10"`, "ready-within"},
+		{`zones="13"`, `zones="13" racks="2"`, "racks"},
+	} {
+		path := filepath.Join(t.TempDir(), "target.xml")
+		if err := os.WriteFile(path, []byte(strings.Replace(string(text), bad.from, bad.to, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := LoadTarget(path); err == nil || !strings.Contains(err.Error(), bad.want) {
+			t.Errorf("%q in place of %q: error %v, want one about %q", bad.to, bad.from, err, bad.want)
+		}
+	}
+}
+
+// A line is found again whatever its size, and the point that is left out has no part in it.
+func TestFitLeavesTheLargestOut(t *testing.T) {
+	s := Series{Points: []Point{{10, 7}, {100, 25}, {1000, 205}, {10000, 2005}, {100000, 40010}}}
+	s.fit()
+	if math.Abs(s.Fit.Base-5) > 1e-6 || math.Abs(s.Fit.Slope-0.2) > 1e-9 || s.Fit.Residual > 1e-9 {
+		t.Errorf("fit %+v, want 5 + 0.2", s.Fit)
+	}
+	if missed := s.Missed(); math.Abs(missed-(20005.0/40010-1)) > 1e-9 {
+		t.Errorf("missed by %g", missed)
+	}
+	noisy := FitLine([]Point{{10, 7.7}, {100, 25}, {1000, 205}, {10000, 2005}})
+	if noisy.Residual < 0.01 || math.Abs(noisy.Slope-0.2) > 0.02 {
+		t.Errorf("with a tenth of noise at the smallest size: %+v", noisy)
+	}
+}
+
+// The share at which a budget is used up: linear, quadratic, of one sender's load, and none stated.
+func TestBreaksAt(t *testing.T) {
+	at := target(t)
+	memory := func(t *Target) float64 { return t.MemoryMB }
+	for _, c := range []struct {
+		name  string
+		row   Row
+		slope float64
+		want  float64
+	}{
+		{"linear", Row{Need: func(t *Target, s []float64) float64 { return s[0] * t.Destinations }, Budget: memory}, 64e-6 * 10, 0.1},
+		{"quadratic", Row{Need: func(t *Target, s []float64) float64 { return s[0] * t.Senders * t.Senders }, Budget: memory}, 128 / 14000.0 / 14000 * 4, 0.5},
+		{"holds", Row{Need: func(t *Target, s []float64) float64 { return s[0] * t.Senders }, Budget: memory}, 128 / 14000.0 / 3, 3},
+		{"one sender's", Row{Fixed: true, Need: func(t *Target, s []float64) float64 { return s[0] * t.BacklogOfSender() }, Budget: memory}, 128 / at.BacklogOfSender() * 5, 0.2},
+	} {
+		if got, stated := c.row.BreaksAt(at, []float64{c.slope}); !stated || math.Abs(got/c.want-1) > 1e-6 {
+			t.Errorf("%s: breaks at %g, want %g", c.name, got, c.want)
+		}
+	}
+	none := Row{Need: func(*Target, []float64) float64 { return 1 }}
+	if _, stated := none.BreaksAt(at, nil); stated {
+		t.Error("a row without a budget breaks")
+	}
+}
+
+// Every slope that the page takes is measured, at five sizes or more that differ a hundredfold at least.
+func TestMeasurementsCoverThePage(t *testing.T) {
+	names := map[string]bool{}
+	for _, m := range Measurements() {
+		if names[m.Name] {
+			t.Errorf("%s stands twice", m.Name)
+		}
+		names[m.Name] = true
+		if len(m.Sizes) < 5 || !slices.IsSorted(m.Sizes) || m.Sizes[len(m.Sizes)-1] < 90*m.Sizes[0] {
+			t.Errorf("%s: sizes %v", m.Name, m.Sizes)
+		}
+	}
+	for _, row := range Rows() {
+		for _, name := range row.Series {
+			if !names[name] {
+				t.Errorf("%s takes the slope of %s, which nothing measures", row.What, name)
+			}
+		}
+	}
+}
+
+// Measurements that need no process of their own run, at their smallest sizes.
+func TestMeasurementsRun(t *testing.T) {
+	e := &Env{Ctx: context.Background(), Dir: t.TempDir()}
+	for _, m := range Measurements() {
+		if m.Process {
+			continue
+		}
+		m.Sizes, m.Repeats = m.Sizes[:3], 1
+		s, err := m.run(e, func(string) {})
+		if err != nil {
+			t.Errorf("%s: %v", m.Name, err)
+			continue
+		}
+		for _, p := range s.Points {
+			if p.Value <= 0 && m.Unit != "ms" && m.Unit != "us" && m.Unit != "KB" {
+				t.Errorf("%s at %g: %g", m.Name, p.Size, p.Value)
+			}
+		}
+	}
+}
+
+// The tables of the page are those of its record: who types a figure by hand, or changes the target or a bound without
+// working the page out again, is told.
+func TestPageIsCurrent(t *testing.T) {
+	const page, record = "../../../docs/CAPACITY.md", "../../../docs/capacity/record.json"
+	text, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := LoadRecord(record)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again := filepath.Join(t.TempDir(), "page.md")
+	if err := os.WriteFile(again, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := WritePage(again, target(t), r); err != nil {
+		t.Fatal(err)
+	}
+	written, err := os.ReadFile(again)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(written) != string(text) {
+		t.Error("docs/CAPACITY.md differs from what its record and target come to: make capacity-page")
+	}
+}
+
+func TestPageWithoutMarks(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "page.md")
+	if err := os.WriteFile(path, []byte("# Capacity\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := WritePage(path, target(t), &Record{}); err == nil || !strings.Contains(err.Error(), "generated: target") {
+		t.Errorf("error %v", err)
+	}
+}
+
+func TestFigure(t *testing.T) {
+	for v, want := range map[float64]string{0: "0", 1234567: "1,234,567", 1000: "1,000", 128: "128", 12.345: "12.3", 0.00512: "0.00512",
+		0.0000123: "0.0000123", -18.44: "-18.4", -1234: "-1,234"} {
+		if got := figure(v); got != want {
+			t.Errorf("%g: %q, want %q", v, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/capacity/measure.go
@@ -0,0 +1,143 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Measurement is one way to measure at a size.
+type Measurement struct {
+	Name, Role, What, Unit, Per string
+	Process                     bool  // on a real process
+	Sizes                       []int // ascending; the last is foretold from the others
+	Repeats                     int   // the least of so many runs counts; for times, which other work can only lengthen
+	Run                         func(e *Env, size int) (float64, error)
+}
+
+// Env is what measurements work in.
+type Env struct {
+	Ctx    context.Context
+	Binary string // the sender's program
+	Dir    string // a scratch folder
+	// restarts holds what was seen of restarts, which two measurements read.
+	restarts map[int]restarted
+}
+
+// Run makes all measurements, or those whose names are given. done is told after each size.
+func Run(e *Env, only []string, done func(name string)) (*Record, error) {
+	r := &Record{Cores: runtime.NumCPU(), GoVersion: runtime.Version(), LoadBefore: load()}
+	began := time.Now()
+	for _, m := range Measurements() {
+		if !selected(m.Name, only) {
+			continue
+		}
+		s, err := m.run(e, done)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", m.Name, err)
+		}
+		r.Series = append(r.Series, *s)
+	}
+	r.Seconds, r.LoadAfter = time.Since(began).Seconds(), load()
+	return r, nil
+}
+
+func selected(name string, only []string) bool {
+	for _, o := range only {
+		if o == name {
+			return true
+		}
+	}
+	return len(only) == 0
+}
+
+func (m *Measurement) run(e *Env, done func(string)) (*Series, error) {
+	s := &Series{Name: m.Name, Role: m.Role, What: m.What, Unit: m.Unit, Per: m.Per, Process: m.Process}
+	for _, size := range m.Sizes {
+		if err := e.Ctx.Err(); err != nil {
+			return nil, err
+		}
+		best, err := m.Run(e, size)
+		for i := 1; i < m.Repeats && err == nil; i++ {
+			var again float64
+			again, err = m.Run(e, size)
+			best = min(best, again)
+		}
+		if err != nil {
+			return nil, fmt.Errorf("size %d: %w", size, err)
+		}
+		s.Points = append(s.Points, Point{Size: float64(size), Value: best})
+		done(m.Name)
+	}
+	s.fit()
+	return s, nil
+}
+
+// Sizes is how many sizes all measurements have.
+func Sizes(only []string) (n int) {
+	for _, m := range Measurements() {
+		if selected(m.Name, only) {
+			n += len(m.Sizes)
+		}
+	}
+	return n
+}
+
+// load is the mean number of runnable processes over the last minute; 0 where the system does not tell.
+func load() float64 {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return 0
+	}
+	first, _, _ := strings.Cut(string(text), " ")
+	value, _ := strconv.ParseFloat(first, 64)
+	return value
+}
+
+// threadTime runs f on one thread and returns the processor time that this thread took, in milliseconds. Time that the
+// garbage collector takes on other threads is not in it.
+func threadTime(f func()) float64 {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	before := clock(unix.CLOCK_THREAD_CPUTIME_ID)
+	f()
+	return float64(clock(unix.CLOCK_THREAD_CPUTIME_ID)-before) / 1e6
+}
+
+// processTime runs f and returns the processor time that this process took meanwhile, in milliseconds.
+func processTime(f func()) float64 {
+	before := clock(unix.CLOCK_PROCESS_CPUTIME_ID)
+	f()
+	return float64(clock(unix.CLOCK_PROCESS_CPUTIME_ID)-before) / 1e6
+}
+
+func clock(id int32) int64 {
+	var t unix.Timespec
+	if unix.ClockGettime(id, &t) != nil {
+		return 0
+	}
+	return t.Nano()
+}
+
+// heapGrowth is by how many bytes what build returns has grown the heap.
+func heapGrowth(build func() any) float64 {
+	before := liveHeap()
+	kept := build()
+	after := liveHeap()
+	runtime.KeepAlive(kept)
+	return float64(after) - float64(before)
+}
+
+func liveHeap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- /dev/null
+++ b/internal/lab/capacity/measure_fleet.go
@@ -0,0 +1,161 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sliptide/internal/fleet/duty"
+	"sliptide/internal/fleet/lease"
+	"sliptide/internal/fleet/link"
+	"sliptide/internal/fleet/model"
+	"sliptide/internal/fleet/pb"
+	"sliptide/internal/fleet/voter"
+)
+
+func fleetMeasurements() []Measurement {
+	return []Measurement{{
+		Name: "group-frames", Role: roleVoter, What: "frames a second of a group in calm, in the model", Unit: "frames/s", Per: "sender",
+		Sizes: []int{10, 30, 100, 300, 900}, Run: groupFrames,
+	}, {
+		Name: "link-frame", Role: roleVoter, What: "processor time of frames over a link, both ends", Unit: "ms", Per: "frame",
+		Sizes: []int{1000, 3000, 10000, 30000, 100000}, Repeats: 2, Run: linkFrames,
+	}, {
+		Name: "session-end", Role: roleVoter, What: "processor time to end one session, by the duties that the group holds", Unit: "us", Per: "duty",
+		Sizes: []int{80, 250, 800, 2500, duty.MaxDuties}, Repeats: 9, Run: sessionEnd,
+	}, {
+		Name: "state-session", Role: roleVoter, What: "snapshot of the agreed state, by sessions", Unit: "KB", Per: "sender",
+		Sizes: []int{10, 30, 100, 300, duty.MaxSessions},
+		Run:   func(_ *Env, size int) (float64, error) { return snapshotSize(size, 0) },
+	}, {
+		Name: "state-duty", Role: roleVoter, What: "snapshot of the agreed state, by duties", Unit: "KB", Per: "duty",
+		Sizes: []int{80, 250, 800, 2500, duty.MaxDuties},
+		Run:   func(_ *Env, size int) (float64, error) { return snapshotSize(1, size) },
+	}, {
+		Name: "present-bytes", Role: roleVoter, What: "frame that tells each member of a session that began or ended", Unit: "KB", Per: "sender",
+		Sizes: []int{10, 100, 1000, 3000, 14000}, Run: presentBytes,
+	}, {
+		Name: "status-bytes", Role: roleOperator, What: "answer to `sliptide fleet status`, by members", Unit: "KB", Per: "sender",
+		Sizes: []int{10, 100, 1000, 3000, 14000}, Run: statusBytes,
+	}}
+}
+
+// groupFrames counts the frames of three voters and so many members in calm.
+func groupFrames(_ *Env, members int) (float64, error) {
+	const settle, counted = 8, 4
+	w := model.New(model.Options{Voters: 3, Members: members - 3, Duties: 1, Terms: lease.Terms{Length: 2 * time.Second, Drift: 0.05},
+		Election: 500 * time.Millisecond, Drift: 0.05, Seed: 1})
+	w.Run(settle * time.Second)
+	w.Frames = 0
+	w.Run((settle + counted) * time.Second)
+	if w.Breach != "" {
+		return 0, errors.New(w.Breach)
+	}
+	return float64(w.Frames) / counted, nil
+}
+
+// linkFrames sends frames from one member to another and back, so many on their way at a time.
+func linkFrames(e *Env, frames int) (float64, error) {
+	const window = 64
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return 0, err
+	}
+	known := func(string) bool { return true }
+	note := func(string, string, error) {}
+	var near, far *link.Net
+	arrived := make(chan struct{}, frames)
+	up := make(chan struct{}, 1)
+	far = link.New(link.Options{Self: "far", Known: known, Note: note,
+		Receive: func(_ context.Context, from string, f *pb.Frame) { far.Send(from, f) }})
+	defer far.Close()
+	go far.Serve(ln)
+	near = link.New(link.Options{Self: "near", Known: known, Dial: map[string]string{"far": ln.Addr().String()},
+		Receive: func(context.Context, string, *pb.Frame) { arrived <- struct{}{} },
+		Note: func(what, _ string, _ error) {
+			if what == "link up" {
+				select {
+				case up <- struct{}{}:
+				default:
+				}
+			}
+		}})
+	defer near.Close()
+	select {
+	case <-up:
+	case <-time.After(startWithin):
+		return 0, errors.New("the link did not come up")
+	}
+	lost := false
+	took := processTime(func() {
+		sent := 0
+		for received := 0; received < frames/2; {
+			for ; sent < frames/2 && sent-received < window; sent++ {
+				near.Send("far", &pb.Frame{What: &pb.Frame_Ask{Ask: &pb.Ask{Id: uint64(sent), Renew: 77, Member: "near"}}})
+			}
+			select {
+			case <-arrived:
+				received++
+			case <-time.After(10 * time.Second):
+				lost = true
+				return
+			}
+		}
+	})
+	if lost {
+		return 0, errors.New("a frame was lost")
+	}
+	return took, e.Ctx.Err()
+}
+
+// agreed is a state with so many sessions, and duties that the first of them holds.
+func agreed(sessions, duties int) *duty.State {
+	s := duty.New(map[uint64]string{1: "sender-00000"})
+	index := uint64(1)
+	apply := func(c *pb.Command) { s.Apply(index, 1, c); index++ }
+	for i := range sessions {
+		apply(&pb.Command{What: &pb.Command_Open{Open: &pb.Open{Member: fmt.Sprintf("sender-%05d", i), Incarnation: uint64(i+1) << 40, Boot: 7, Zone: "zone-11", Weight: 1, Seq: 1}}})
+	}
+	for i := range duties {
+		apply(&pb.Command{What: &pb.Command_Acquire{Acquire: &pb.Acquire{Session: uint64(1 + i%max(sessions, 1)), Duty: fmt.Sprintf("trial/%07d", i)}}})
+	}
+	return s
+}
+
+func snapshotSize(sessions, duties int) (float64, error) {
+	b, err := agreed(sessions, duties).Marshal()
+	return float64(len(b)) / 1e3, err
+}
+
+// sessionEnd measures the end of a session of a hundred that share the duties.
+func sessionEnd(_ *Env, duties int) (float64, error) {
+	const sessions = 100
+	s := agreed(sessions, duties)
+	var err error
+	took := threadTime(func() {
+		err = s.Apply(1<<40, 1, &pb.Command{What: &pb.Command_Close{Close: &pb.Close{Session: 50}}}).Err
+	})
+	return took * 1e3, err
+}
+
+func presentBytes(_ *Env, members int) (float64, error) {
+	news := &pb.News{From: 1 << 20, To: 1<<20 + 1, AllPresent: true}
+	for i := range members {
+		news.Present = append(news.Present, &pb.Present{Name: fmt.Sprintf("sender-%05d", i), Zone: "zone-11"})
+	}
+	return float64(proto.Size(&pb.Frame{What: &pb.Frame_News{News: news}})) / 1e3, nil
+}
+
+func statusBytes(_ *Env, members int) (float64, error) {
+	s := voter.Status{Asked: "sender-00000", Leader: "sender-00001"}
+	for i := range members {
+		s.Members = append(s.Members, voter.MemberStatus{Name: fmt.Sprintf("sender-%05d", i), Session: uint64(i + 1000), Zone: "zone-11", Heard: 123.4, Duties: 3})
+	}
+	b, err := json.Marshal(s)
+	return float64(len(b)) / 1e3, err
+}
--- /dev/null
+++ b/internal/lab/capacity/measure_process.go
@@ -0,0 +1,365 @@
+package capacity
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	startWithin  = 2 * time.Minute
+	lookEvery    = 20 * time.Millisecond
+	settleFor    = 10 // looks in a row at which memory has not grown
+	settleWithin = 10 * time.Second
+	handsIn      = 16 // connections that hand events in
+)
+
+// restarted is what was seen of one restart.
+type restarted struct {
+	ready  float64 // ms from the start until the sender was ready
+	memory float64 // MB then
+}
+
+func processMeasurements() []Measurement {
+	held := []int{300, 1000, 3000, 10000, 30000}
+	return []Measurement{{
+		Name: "destination-memory", Role: roleSender, What: "resident memory of a sender that knows so many destinations, one endpoint each, idle",
+		Unit: "MB", Per: "destination", Process: true, Sizes: []int{40, 130, 400, 1300, 4000}, Repeats: 2, Run: destinationMemory,
+	}, {
+		Name: "restart-memory", Role: roleSender, What: "resident memory of a sender that restarted with so many events of 500 bytes in its journal",
+		Unit: "MB", Per: "held event", Process: true, Sizes: held,
+		Run: func(e *Env, size int) (float64, error) { r, err := e.restart(size); return r.memory, err },
+	}, {
+		Name: "restart-ready", Role: roleSender, What: "time from the start until /up answers 200, with so many events in the journal",
+		Unit: "ms", Per: "held event", Process: true, Sizes: held,
+		Run: func(e *Env, size int) (float64, error) { r, err := e.restart(size); return r.ready, err },
+	}, {
+		Name: "held-memory", Role: roleSender, What: "resident memory of a sender that took so many events of 500 bytes for a destination that is down",
+		Unit: "MB", Per: "held event", Process: true, Sizes: []int{300, 1000, 3000, 10000, 30000}, Run: heldMemory,
+	}, {
+		Name: "event-cpu", Role: roleSender, What: "processor time of a sender that takes and delivers so many events of 500 bytes",
+		Unit: "ms", Per: "event", Process: true, Sizes: []int{300, 1000, 3000, 10000, 30000}, Run: eventTime,
+	}}
+}
+
+// process is a sender that runs.
+type process struct {
+	cmd    *exec.Cmd
+	addr   string
+	dir    string
+	log    bytes.Buffer
+	exited chan struct{}
+}
+
+// listText is a whole list of endpoints at addr, each of a destination of its own.
+func listText(destinations int, addr string) string {
+	var b strings.Builder
+	b.WriteString(`{"version":1,"full":true,"servers":[`)
+	for i := range destinations {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, `{"id":"endpoint-%07d","addr":%q,"zone":"a","kind":"partner","cell":%d,"state":"up","weight":1}`, i, addr, i)
+	}
+	b.WriteString("]}")
+	return b.String()
+}
+
+// configure writes the configuration of a sender with plenty of room.
+func configure(dir, addr, known string) (string, error) {
+	text, err := json.Marshal(map[string]any{
+		"name": "capacity", "listen": addr, "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 4096, "sockets": 1024, "disk_mb": 1024},
+		"known":  json.RawMessage(known),
+		"settings": map[string]any{
+			"areas": []string{"a"}, "kinds": []string{"partner"}, "balancers": 1, "round": 1,
+			"family_info": map[string]any{"call_slots": 32, "kind_batch": []int{1}, "own_limits": []bool{false}},
+			"limits":      map[string]any{"max_attempts": 6, "most_held": 1 << 20, "keepalive": 15000, "dial_timeout": 1500, "retry_after": true, "max_retry_after": 2000},
+			"contract":    map[string]any{"answer_slack": 20, "stop_sending_within": 500, "cold": 9000, "cold_from": 0.25, "tip_multiple": 1.5, "tip_after": 3000},
+			"reporting":   map[string]any{"fields": []string{"x0", "x1"}},
+			"services":    []any{map[string]any{"name": "note", "aim": 4000, "deadline": 86400000, "effect": "safe", "worth": 1, "late_worth": 0.4}},
+			"tenants":     []any{map[string]any{"name": "acme", "quota_per_s": 1e6}},
+		},
+	})
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "config.json")
+	return path, os.WriteFile(path, text, 0o600)
+}
+
+// freeAddr is an address on loopback that nobody listens on at the moment.
+func freeAddr() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// start starts a sender in a folder, whose journal may be there already, and waits until it is ready.
+func (e *Env) start(dir, known string) (*process, time.Duration, error) {
+	addr, err := freeAddr()
+	if err != nil {
+		return nil, 0, err
+	}
+	config, err := configure(dir, addr, known)
+	if err != nil {
+		return nil, 0, err
+	}
+	p := &process{addr: addr, dir: dir, exited: make(chan struct{})}
+	p.cmd = exec.CommandContext(e.Ctx, e.Binary, "run")
+	p.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+config, "RELAY_STATE="+filepath.Join(dir, "state"))
+	p.cmd.Stderr = &p.log
+	began := time.Now()
+	if err := p.cmd.Start(); err != nil {
+		return nil, 0, err
+	}
+	go func() { p.cmd.Wait(); close(p.exited) }()
+	for time.Since(began) < startWithin {
+		response, err := http.Get("http://" + addr + "/up")
+		if err == nil {
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return p, time.Since(began), nil
+			}
+		}
+		select {
+		case <-p.exited:
+			return nil, 0, fmt.Errorf("the sender ended: %s", p.log.String())
+		case <-time.After(lookEvery / 10):
+		}
+	}
+	p.stop()
+	return nil, 0, fmt.Errorf("the sender was not ready in %v", startWithin)
+}
+
+// stop ends the process and waits for its end.
+func (p *process) stop() {
+	p.cmd.Process.Signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+// resident is the resident memory in MB, once it has not grown for some looks.
+func (p *process) resident() (float64, error) {
+	most, calm := 0.0, 0
+	for end := time.Now().Add(settleWithin); calm < settleFor && time.Now().Before(end); calm++ {
+		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+		if err != nil {
+			return 0, err
+		}
+		_, rest, found := strings.Cut(string(text), "VmRSS:")
+		fields := strings.Fields(rest)
+		if !found || len(fields) == 0 {
+			return 0, errors.New("the system does not tell the resident memory")
+		}
+		kib, err := strconv.ParseFloat(fields[0], 64)
+		if err != nil {
+			return 0, err
+		}
+		if now := kib * 1024 / 1e6; now > most {
+			most, calm = now, 0
+		}
+		time.Sleep(lookEvery)
+	}
+	return most, nil
+}
+
+// processorTime is what the process has taken so far, in milliseconds.
+func (p *process) processorTime() (float64, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/schedstat", p.cmd.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", p.cmd.Process.Pid))
+	if err != nil || len(tasks) == 0 {
+		return 0, fmt.Errorf("%s: no threads: %w", text, err)
+	}
+	total := 0.0
+	for _, task := range tasks {
+		text, err := os.ReadFile(task)
+		if err != nil {
+			continue // a thread that has ended
+		}
+		nanoseconds, err := strconv.ParseFloat(strings.Fields(string(text))[0], 64)
+		if err != nil {
+			return 0, err
+		}
+		total += nanoseconds / 1e6
+	}
+	return total, nil
+}
+
+// scratch is a folder for one process, with its state folder in it.
+func (e *Env) scratch() (string, error) {
+	dir, err := os.MkdirTemp(e.Dir, "sender-")
+	if err != nil {
+		return "", err
+	}
+	return dir, os.MkdirAll(filepath.Join(dir, "state"), 0o700)
+}
+
+func destinationMemory(e *Env, size int) (float64, error) {
+	dir, err := e.scratch()
+	if err != nil {
+		return 0, err
+	}
+	defer os.RemoveAll(dir)
+	p, _, err := e.start(dir, listText(size, "127.0.0.1:9"))
+	if err != nil {
+		return 0, err
+	}
+	defer p.stop()
+	return p.resident()
+}
+
+// restart starts a sender with a journal of so many events.
+func (e *Env) restart(size int) (restarted, error) {
+	if r, seen := e.restarts[size]; seen {
+		return r, nil
+	}
+	dir, err := e.scratch()
+	if err != nil {
+		return restarted{}, err
+	}
+	defer os.RemoveAll(dir)
+	if err := fill(filepath.Join(dir, "state"), size); err != nil {
+		return restarted{}, err
+	}
+	p, took, err := e.start(dir, listText(2, "127.0.0.1:9"))
+	if err != nil {
+		return restarted{}, err
+	}
+	defer p.stop()
+	memory, err := p.resident()
+	if e.restarts == nil {
+		e.restarts = map[int]restarted{}
+	}
+	e.restarts[size] = restarted{ready: float64(took) / 1e6, memory: memory}
+	return e.restarts[size], err
+}
+
+func heldMemory(e *Env, size int) (float64, error) {
+	dir, err := e.scratch()
+	if err != nil {
+		return 0, err
+	}
+	defer os.RemoveAll(dir)
+	p, _, err := e.start(dir, listText(2, "127.0.0.1:9")) // nobody listens there
+	if err != nil {
+		return 0, err
+	}
+	defer p.stop()
+	if err := p.handIn(size); err != nil {
+		return 0, err
+	}
+	return p.resident()
+}
+
+func eventTime(e *Env, size int) (float64, error) {
+	dir, err := e.scratch()
+	if err != nil {
+		return 0, err
+	}
+	defer os.RemoveAll(dir)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return 0, err
+	}
+	delivered := make(chan struct{}, size)
+	partner := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		w.WriteHeader(http.StatusOK)
+		delivered <- struct{}{}
+	})}
+	go partner.Serve(ln)
+	defer partner.Close()
+	p, _, err := e.start(dir, listText(2, ln.Addr().String()))
+	if err != nil {
+		return 0, err
+	}
+	defer p.stop()
+	before, err := p.processorTime()
+	if err != nil {
+		return 0, err
+	}
+	if err := p.handIn(size); err != nil {
+		return 0, err
+	}
+	for range size {
+		select {
+		case <-delivered:
+		case <-time.After(startWithin):
+			return 0, errors.New("not all events were delivered")
+		}
+	}
+	after, err := p.processorTime()
+	return after - before, err
+}
+
+// handIn hands so many events in, for destination 1, and returns once each was taken on. One that is refused for the
+// moment is handed in again.
+func (p *process) handIn(events int) error {
+	body := strings.Repeat("x", eventBytes)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: handsIn}, Timeout: 10 * time.Second}
+	defer client.CloseIdleConnections()
+	var wait sync.WaitGroup
+	errs := make(chan error, handsIn)
+	for worker := range handsIn {
+		wait.Go(func() {
+			for i := worker; i < events; i += handsIn {
+				if err := p.handInOne(client, i, body); err != nil {
+					errs <- err
+					return
+				}
+			}
+		})
+	}
+	wait.Wait()
+	select {
+	case err := <-errs:
+		return err
+	default:
+		return nil
+	}
+}
+
+func (p *process) handInOne(client *http.Client, i int, body string) error {
+	for end := time.Now().Add(startWithin); time.Now().Before(end); time.Sleep(lookEvery) {
+		request, err := http.NewRequest("POST", "http://"+p.addr+"/api", strings.NewReader(body))
+		if err != nil {
+			return err
+		}
+		for name, value := range map[string]string{"X-Trace-Id": fmt.Sprintf("trace-%08d", i), "X-Qos": "note", "X-Customer": "acme",
+			"X-Expires-In": "80000", "X-Route-To": "dest=1"} {
+			request.Header.Set(name, value)
+		}
+		response, err := client.Do(request)
+		if err != nil {
+			return err
+		}
+		io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+		switch response.StatusCode {
+		case http.StatusAccepted:
+			return nil
+		case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		default:
+			return fmt.Errorf("event %d: %s", i, response.Status)
+		}
+	}
+	return fmt.Errorf("event %d was refused for %v", i, startWithin)
+}
--- /dev/null
+++ b/internal/lab/capacity/measure_sender.go
@@ -0,0 +1,281 @@
+package capacity
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"sliptide/internal/discovery"
+	"sliptide/internal/journal"
+	"sliptide/internal/operator"
+	"sliptide/internal/statedir"
+	"sliptide/internal/telemetry"
+	"sliptide/policy"
+)
+
+// The roles that the page has sections for.
+const (
+	roleSender    = "sender"
+	roleHolder    = "holder of copies"
+	roleVoter     = "voter"
+	roleList      = "distribution of lists and configuration"
+	roleTelemetry = "telemetry"
+	roleOperator  = "operators' commands"
+)
+
+// eventBytes is the body of the events that are measured with.
+const eventBytes = 500
+
+// Measurements are all measurements, by role.
+func Measurements() []Measurement {
+	list := processMeasurements()
+	list = append(list, moduleMeasurements()...)
+	list = append(list, journalMeasurements()...)
+	list = append(list, listMeasurements()...)
+	return append(list, fleetMeasurements()...)
+}
+
+// settings are those of a sender with one class of long-lived messages and plenty of room.
+func settings(held int) policy.Settings {
+	return policy.Settings{
+		Senders: 1, CallSlots: 8, MaxAttempts: 6, MaxHeld: held, StreamsPerConn: 1, KeepAlive: 15000, DialTimeout: 1500,
+		DrainGrace: 500, Cold: 9000, ColdFrom: 0.25, TipMultiple: 1.5, TipAfter: 3000, X0: -1, X1: -1,
+		Kinds:   []policy.DestKind{{Name: "partner", Batch: 1}},
+		Classes: []policy.Class{{Name: "note", Aim: 4000, Deadline: 8.64e7, Worth: 1, LateWorth: 0.4, Effect: policy.Safe}},
+	}
+}
+
+// endpoints are as many, each of a destination of its own.
+func endpoints(n int) []policy.Endpoint {
+	list := make([]policy.Endpoint, n)
+	for i := range list {
+		list[i] = policy.Endpoint{ID: uint32(i + 1), State: policy.Ready, Dest: i}
+	}
+	return list
+}
+
+func moduleMeasurements() []Measurement {
+	return []Measurement{{
+		Name: "module-destination-memory", Role: roleSender, What: "memory of the decision module for a known destination with one endpoint, idle",
+		Unit: "KB", Per: "destination", Sizes: []int{1000, 3000, 10000, 30000, 100000, 300000},
+		Run: func(_ *Env, size int) (float64, error) {
+			return heapGrowth(func() any {
+				s := policy.New(settings(1000), 1)
+				s.Step(1000, []policy.Event{{Kind: policy.EvList, FullList: true, List: endpoints(size)}}, nil)
+				return s
+			}) / 1e3, nil
+		},
+	}, {
+		Name: "module-event-memory", Role: roleSender, What: "memory of the decision module for a held event",
+		Unit: "KB", Per: "held event", Sizes: []int{1000, 3000, 10000, 30000, 100000, 300000},
+		Run: func(_ *Env, size int) (float64, error) {
+			return heapGrowth(func() any { return holding(size) }) / 1e3, nil
+		},
+	}, {
+		Name: "module-send", Role: roleSender, What: "processor time of a step that sends the next of one destination's held events",
+		Unit: "us", Per: "held event", Sizes: []int{100, 300, 1000, 3000, 10000, 30000}, Repeats: 3,
+		Run: moduleSend,
+	}, {
+		Name: "telemetry-event", Role: roleTelemetry, What: "processor time to make an event's records into a trace",
+		Unit: "ms", Per: "event", Sizes: []int{1000, 3000, 10000, 30000, 100000}, Repeats: 3,
+		Run: telemetryEvents,
+	}}
+}
+
+// holding is a module that holds so many events of one destination, which has no endpoint.
+func holding(events int) *policy.Sender {
+	s := policy.New(settings(2*events), 1)
+	batch := make([]policy.Event, events)
+	for i := range batch {
+		batch[i] = policy.Event{Kind: policy.EvMessage, ID: uint64(i + 1), Dest: 1, Left: 8e7, Restored: true}
+	}
+	s.Step(1000, batch, nil)
+	return s
+}
+
+// moduleSend measures a step that takes an outcome and sends the next event.
+func moduleSend(_ *Env, held int) (float64, error) {
+	const steps = 20
+	s := holding(held + steps + 8)
+	actions := s.Step(1001, []policy.Event{{Kind: policy.EvList, FullList: true, List: []policy.Endpoint{{ID: 1, State: policy.Ready, Dest: 1}}}}, nil)
+	now, sent := 1001.0, 0
+	took := threadTime(func() {
+		for range steps {
+			var ended []policy.Event
+			for _, a := range actions {
+				if a.Kind == policy.ActSend && len(ended) == 0 {
+					ended = append(ended, policy.Event{Kind: policy.EvOutcome, ID: a.ID, Endpoint: 1, Outcome: policy.OK, Latency: 5, Closed: true})
+				}
+			}
+			now += 5
+			sent += len(ended)
+			actions = s.Step(now, ended, nil)
+		}
+	})
+	if sent < steps/2 {
+		return 0, fmt.Errorf("only %d of %d steps sent an event", sent, steps)
+	}
+	return took * 1e3 / steps, nil
+}
+
+// telemetryEvents measures all records of events through the assembler.
+func telemetryEvents(_ *Env, events int) (float64, error) {
+	a := telemetry.NewAssembler(telemetry.Settings{Share: 1, Classes: settings(1).Classes, Keep: func(*telemetry.Trace) {}})
+	q := telemetry.NewRecorder(1 << 30)
+	return threadTime(func() {
+		for i := range events {
+			at := float64(i)
+			q.Push(telemetry.Record{Kind: telemetry.Taken, Num: uint64(i), At: at, Until: at + 1e4, Text: "9b1f03aa5c7e2d41"})
+			q.Push(telemetry.Record{Kind: telemetry.Began, Num: uint64(i), At: at})
+			q.Push(telemetry.Record{Kind: telemetry.Ended, Num: uint64(i), At: at + 20, Until: at, Text: "127.0.0.1:9000"})
+			q.Push(telemetry.Record{Kind: telemetry.Over, Num: uint64(i), At: at + 20})
+			if i%64 == 63 {
+				q.Drain(a.Take)
+			}
+		}
+	}), nil
+}
+
+// entry is an event as the journal keeps it.
+func entry(num uint64, deadline time.Time) *journal.Entry {
+	return &journal.Entry{Num: num, Trace: fmt.Sprintf("trace-%016x", num), Key: fmt.Sprintf("key-%016x", num), Class: "note", Tenant: "acme", Dest: 1,
+		Deadline: deadline.UnixMilli(), Body: bytes.Repeat([]byte("x"), eventBytes)}
+}
+
+// fill writes a journal of so many events into a folder.
+func fill(dir string, events int) error {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return err
+	}
+	j, _, err := journal.Open(dir, statedir.NewSpace(1<<40).Account())
+	if err != nil {
+		return err
+	}
+	deadline := time.Now().Add(23 * time.Hour)
+	for i := range events {
+		j.Take(entry(j.Next(), deadline))
+		if i%1000 == 999 {
+			if err := j.Flush(); err != nil {
+				return err
+			}
+		}
+	}
+	return j.Close()
+}
+
+func journalMeasurements() []Measurement {
+	sizes := []int{300, 1000, 3000, 10000, 30000, 100000}
+	return []Measurement{{
+		Name: "journal-bytes", Role: roleSender, What: "journal of a held event of 500 bytes", Unit: "KB", Per: "held event", Sizes: sizes,
+		Run: func(e *Env, size int) (float64, error) {
+			dir, err := os.MkdirTemp(e.Dir, "journal-")
+			if err != nil {
+				return 0, err
+			}
+			defer os.RemoveAll(dir)
+			if err := fill(dir, size); err != nil {
+				return 0, err
+			}
+			info, err := os.Stat(filepath.Join(dir, "journal"))
+			if err != nil {
+				return 0, err
+			}
+			return float64(info.Size()) / 1e3, nil
+		},
+	}, {
+		Name: "journal-replay", Role: roleSender, What: "processor time to replay the journal", Unit: "ms", Per: "held event", Sizes: sizes, Repeats: 3,
+		Run: func(e *Env, size int) (float64, error) {
+			dir, err := os.MkdirTemp(e.Dir, "journal-")
+			if err != nil {
+				return 0, err
+			}
+			defer os.RemoveAll(dir)
+			if err := fill(dir, size); err != nil {
+				return 0, err
+			}
+			var opened *journal.Journal
+			took := threadTime(func() { opened, _, err = journal.Open(dir, statedir.NewSpace(1<<40).Account()) })
+			if err != nil {
+				return 0, err
+			}
+			return took, opened.Close()
+		},
+	}, {
+		Name: "copy-bytes", Role: roleHolder, What: "records of an event's whole life that go to each holder of copies", Unit: "KB", Per: "event",
+		Sizes: []int{10, 100, 1000, 10000, 100000},
+		Run: func(e *Env, size int) (float64, error) {
+			dir, err := os.MkdirTemp(e.Dir, "journal-")
+			if err != nil {
+				return 0, err
+			}
+			defer os.RemoveAll(dir)
+			j, _, err := journal.Open(dir, statedir.NewSpace(1<<40).Account())
+			if err != nil {
+				return 0, err
+			}
+			j.Tap()
+			total := 0
+			for range size {
+				x := entry(j.Next(), time.Now().Add(time.Hour))
+				j.Take(x)
+				j.Start(x, time.Now().UnixMilli(), 0)
+				j.Outcome(x, false)
+				j.End(x)
+				total += len(j.Tapped())
+			}
+			return float64(total) / 1e3, j.Close()
+		},
+	}}
+}
+
+func listMeasurements() []Measurement {
+	return []Measurement{{
+		Name: "list-bytes", Role: roleList, What: "the list of endpoints, one endpoint a destination", Unit: "KB", Per: "destination",
+		Sizes: []int{100, 300, 1000, 3000, 10000, 100000},
+		Run:   func(_ *Env, size int) (float64, error) { return float64(len(listText(size, "127.0.0.1:9"))) / 1e3, nil },
+	}, {
+		Name: "list-take", Role: roleList, What: "processor time to read a whole list and give it to the module", Unit: "ms", Per: "destination",
+		Sizes: []int{100, 300, 1000, 3000, 10000, discovery.MaxEndpoints}, Repeats: 3,
+		Run: func(_ *Env, size int) (float64, error) {
+			text := []byte(listText(size, "127.0.0.1:9"))
+			set := settings(1000)
+			module := policy.New(set, 1)
+			watch := discovery.NewWatch("127.0.0.1:9", &set, 1, zerolog.Nop(), func(l discovery.List) {
+				event := policy.Event{Kind: policy.EvList, FullList: l.Full}
+				for _, x := range l.Entries {
+					event.List = append(event.List, x.Endpoint)
+				}
+				module.Step(1000, []policy.Event{event}, nil)
+			})
+			var err error
+			return threadTime(func() { err = watch.Known(text) }), err
+		},
+	}, {
+		Name: "member-file", Role: roleList, What: "processor time to read an operators' file that lists the members", Unit: "ms", Per: "sender",
+		Sizes: []int{10, 30, 100, 300, operator.MaxMembers}, Repeats: 25,
+		Run: func(_ *Env, size int) (float64, error) {
+			text := memberFile(size)
+			var err error
+			return threadTime(func() { _, err = operator.Read("members.xml", bytes.NewReader(text)) }), err
+		},
+	}, {
+		Name: "member-file-bytes", Role: roleList, What: "an operators' file that lists the members", Unit: "KB", Per: "sender",
+		Sizes: []int{10, 30, 100, 300, operator.MaxMembers},
+		Run:   func(_ *Env, size int) (float64, error) { return float64(len(memberFile(size))) / 1e3, nil },
+	}}
+}
+
+// memberFile is an operators' file of a fleet of so many members.
+func memberFile(members int) []byte {
+	var b bytes.Buffer
+	b.WriteString("<sliptide version=\"1\">\n <fleet enabled=\"true\">\n")
+	for i := range members {
+		fmt.Fprintf(&b, "  <member name=\"sender-%05d\" addr=\"10.%d.%d.%d:7100\" zone=\"zone-%d\" voter=\"%t\"/>\n", i, i>>16, i>>8&0xff, i&0xff, i%13, i < 3)
+	}
+	b.WriteString(" </fleet>\n</sliptide>\n")
+	return b.Bytes()
+}
--- /dev/null
+++ b/internal/lab/capacity/page.go
@@ -0,0 +1,176 @@
+package capacity
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+)
+
+const (
+	beginMark = "<!-- generated: %s. `make capacity` writes what stands between these lines. -->"
+	endMark   = "<!-- end of %s -->"
+	missedLot = 0.2 // a forecast that missed by more is marked
+)
+
+// WritePage replaces the generated parts of a page by what a record and a target come to.
+func WritePage(path string, t *Target, r *Record) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	for _, part := range []struct {
+		name  string
+		write func(*bytes.Buffer)
+	}{
+		{"target", func(b *bytes.Buffer) { writeTarget(b, t) }},
+		{"slopes", func(b *bytes.Buffer) { writeSlopes(b, r) }},
+		{"rows", func(b *bytes.Buffer) { writeRows(b, t, r) }},
+		{"bounds", func(b *bytes.Buffer) { writeBounds(b, t) }},
+		{"missing", func(b *bytes.Buffer) { writeMissing(b, t, r) }},
+	} {
+		var b bytes.Buffer
+		part.write(&b)
+		if text, err = replacePart(text, part.name, b.Bytes()); err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+	}
+	return os.WriteFile(path, text, 0o644)
+}
+
+// replacePart puts a part between its marks.
+func replacePart(text []byte, name string, part []byte) ([]byte, error) {
+	begin, end := fmt.Appendf(nil, beginMark, name), fmt.Appendf(nil, endMark, name)
+	at, till := bytes.Index(text, begin), bytes.Index(text, end)
+	if at < 0 || till < at {
+		return nil, fmt.Errorf("the lines %q and %q are missing, or not in this order", begin, end)
+	}
+	return slices.Concat(text[:at+len(begin)], []byte("\n\n"), part, []byte("\n"), text[till:]), nil
+}
+
+// figure shows a number with three digits that count, without an exponent.
+func figure(v float64) string {
+	switch {
+	case v == 0:
+		return "0"
+	case v >= 1000 || v <= -1000:
+		text := fmt.Sprintf("%.0f", v)
+		var parts []string
+		for len(text) > 3 && text[len(text)-4] != '-' {
+			parts = append([]string{text[len(text)-3:]}, parts...)
+			text = text[:len(text)-3]
+		}
+		return strings.Join(append([]string{text}, parts...), ",")
+	case v >= 100 || v <= -100:
+		return fmt.Sprintf("%.0f", v)
+	}
+	text := fmt.Sprintf("%.3g", v)
+	if strings.Contains(text, "e") {
+		text = strings.TrimRight(fmt.Sprintf("%.9f", v), "0")
+	}
+	return text
+}
+
+func percent(v float64) string { return figure(100*v) + " %" }
+
+func writeTarget(b *bytes.Buffer, t *Target) {
+	fmt.Fprintln(b, "| | at target |\n| --- | --- |")
+	fmt.Fprintf(b, "| senders | %s in %s regions with %s zones, taking %s events a second (%s each, %s bytes) |\n",
+		figure(t.Senders), figure(t.Regions), figure(t.Zones), figure(t.EventsPerSecond), figure(t.EventsOfSender()), figure(t.EventBytes))
+	fmt.Fprintf(b, "| destinations | %s, %s %% of them (%s) down at any time |\n", figure(t.Destinations), figure(t.DownPercent), figure(t.Down()))
+	fmt.Fprintf(b, "| backlog | up to %s events (%s a sender) |\n", figure(t.Backlog), figure(t.BacklogOfSender()))
+	fmt.Fprintf(b, "| configuration | %s changes a day (%s a second), in force everywhere within %v |\n", figure(t.ChangesPerDay), figure(t.ChangesPerDay/secondsPerDay), t.InForceWithin)
+	fmt.Fprintf(b, "| for control, a sender | at most %s %% of a core, %s MB, %s KB/s; and %s machines set aside for control |\n",
+		figure(t.CorePercent), figure(t.MemoryMB), figure(t.LinkKBPerSecond), figure(t.ControlMachines))
+	fmt.Fprintf(b, "| failures | %s machines a day, %s restarted or replaced a day; ready within %v |\n", figure(t.LostPerDay), figure(t.RestartsPerDay), t.ReadyWithin)
+}
+
+func writeSlopes(b *bytes.Buffer, r *Record) {
+	fmt.Fprintf(b, "Measured in %.0f s on %d cores, %s; runnable processes, mean of a minute: %s before, %s after.\n\n", r.Seconds, r.Cores, r.GoVersion, figure(r.LoadBefore), figure(r.LoadAfter))
+	fmt.Fprintln(b, "| role | measured | on | sizes fitted | base + slope | residual | left out | foretold | measured | missed by |")
+	fmt.Fprintln(b, "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	for i := range r.Series {
+		s := &r.Series[i]
+		on := "this code, in the measuring process"
+		if s.Process {
+			on = "a real sender"
+		}
+		last, fitted := s.Largest(), s.Points[:len(s.Points)-1]
+		mark := ""
+		if missed := s.Missed(); missed > missedLot || missed < -missedLot {
+			mark = " **over 20 %**"
+		}
+		fmt.Fprintf(b, "| %s | `%s`: %s | %s | %s to %s | %s + %s %s a %s | %s | %s | %s | %s %s | %s%s |\n", s.Role, s.Name, s.What, on,
+			figure(fitted[0].Size), figure(fitted[len(fitted)-1].Size), figure(s.Fit.Base), figure(s.Fit.Slope), s.Unit, s.Per,
+			percent(s.Fit.Residual), figure(last.Size), figure(s.Fit.At(last.Size)), figure(last.Value), s.Unit, percent(s.Missed()), mark)
+	}
+}
+
+func writeRows(b *bytes.Buffer, t *Target, r *Record) {
+	fmt.Fprintln(b, "| role | what | mechanism today | slope x quantity (arithmetic on measured slopes) | at target | budget | share of the target at which it breaks |")
+	fmt.Fprintln(b, "| --- | --- | --- | --- | --- | --- | --- |")
+	for _, row := range Rows() {
+		slopes, ok := row.slopes(r)
+		if !ok {
+			fmt.Fprintf(b, "| %s | %s | %s | %s | not measured | | |\n", row.Role, row.What, row.Mechanism, row.Formula)
+			continue
+		}
+		budget, breaks := "none stated", ""
+		if share, stated := row.BreaksAt(t, slopes); stated {
+			budget = fmt.Sprintf("%s %s: %s", figure(row.Budget(t)), row.Unit, row.BudgetOf)
+			breaks = breakText(&row, share)
+		}
+		fmt.Fprintf(b, "| %s | %s | %s | `%s`: %s | %s %s | %s | %s |\n", row.Role, row.What, row.Mechanism, strings.Join(row.Series, "`, `"), row.Formula,
+			figure(row.Need(t, slopes)), row.Unit, budget, breaks)
+	}
+}
+
+func breakText(row *Row, share float64) string {
+	of := "of the fleet"
+	if row.Fixed {
+		of = "of one sender's load"
+	}
+	if share >= 1 {
+		return fmt.Sprintf("holds (to %s times the target, %s)", figure(share), of)
+	}
+	return fmt.Sprintf("%s %s", percent(share), of)
+}
+
+func writeBounds(b *bytes.Buffer, t *Target) {
+	fmt.Fprintln(b, "| bound in the code | constant | file | value | at target (arithmetic) | ends at | past it |")
+	fmt.Fprintln(b, "| --- | --- | --- | --- | --- | --- | --- |")
+	for _, bound := range Bounds() {
+		need := bound.Need(t)
+		fmt.Fprintf(b, "| %s | `%s` | `%s` | %s | %s | %s | %s |\n", bound.What, bound.Constant, bound.File, figure(bound.Value), figure(need), percent(bound.Value/need), bound.Beyond)
+	}
+}
+
+// missing is one thing that ends the fleet's growth.
+type missing struct {
+	share float64
+	text  string
+}
+
+func writeMissing(b *bytes.Buffer, t *Target, r *Record) {
+	var list []missing
+	for _, row := range Rows() {
+		slopes, ok := row.slopes(r)
+		if !ok {
+			continue
+		}
+		if share, stated := row.BreaksAt(t, slopes); stated && share < 1 {
+			list = append(list, missing{share, fmt.Sprintf("%s: %s (%s)", breakText(&row, share), row.What, row.Mechanism)})
+		}
+	}
+	for _, bound := range Bounds() {
+		if share := bound.Value / bound.Need(t); share < 1 {
+			list = append(list, missing{share, fmt.Sprintf("%s of the fleet: %s (`%s`)", percent(share), bound.What, bound.Constant)})
+		}
+	}
+	slices.SortStableFunc(list, func(x, y missing) int { return cmp.Compare(x.share, y.share) })
+	for i, m := range list {
+		fmt.Fprintf(b, "%d. %s\n", i+1, m.text)
+	}
+}
--- /dev/null
+++ b/internal/lab/capacity/record.go
@@ -0,0 +1,54 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+)
+
+// Record is all that was measured in one run.
+type Record struct {
+	Cores      int      `json:"cores"`
+	GoVersion  string   `json:"go_version"`
+	LoadBefore float64  `json:"load_before"` // runnable processes, mean of a minute
+	LoadAfter  float64  `json:"load_after"`
+	Seconds    float64  `json:"seconds"`
+	Series     []Series `json:"series"`
+}
+
+// Of is the series of a name, nil if it was not measured.
+func (r *Record) Of(name string) *Series {
+	for i := range r.Series {
+		if r.Series[i].Name == name {
+			return &r.Series[i]
+		}
+	}
+	return nil
+}
+
+// LoadRecord reads a record.
+func LoadRecord(path string) (*Record, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var r Record
+	if err := json.Unmarshal(text, &r); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	for _, s := range r.Series {
+		if len(s.Points) < 5 {
+			return nil, fmt.Errorf("%s: %s has %d sizes; allowed: 5 or more, of which the last is foretold", path, s.Name, len(s.Points))
+		}
+	}
+	return &r, nil
+}
+
+// Save writes a record.
+func (r *Record) Save(path string) error {
+	text, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(text, '\n'), 0o644)
+}
--- /dev/null
+++ b/internal/lab/cli/capacity.go
@@ -0,0 +1,72 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/schollz/progressbar/v3"
+
+	"sliptide/internal/lab/capacity"
+)
+
+type capacityCmd struct {
+	Target string   `default:"experiments/target.xml" help:"The target that the page is worked out for." placeholder:"FILE"`
+	Record string   `default:"docs/capacity/record.json" help:"What was measured." placeholder:"FILE"`
+	Page   string   `default:"docs/CAPACITY.md" help:"The page whose tables are written." placeholder:"FILE"`
+	Binary string   `default:"bin/sliptide" help:"The sender that is measured." placeholder:"FILE"`
+	Only   []string `help:"Measure these alone, print them, and write nothing." placeholder:"NAME"`
+	Again  bool     `help:"Measure nothing: write the page from the record."`
+}
+
+// Run runs the command.
+func (c *capacityCmd) Run(env *Env) error {
+	target, err := capacity.LoadTarget(c.Target)
+	if err != nil {
+		return err
+	}
+	if c.Again {
+		return c.write(target)
+	}
+	binary, err := filepath.Abs(c.Binary)
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "sliptide-capacity-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	done := func(string) {}
+	if env.Bar {
+		bar := progressbar.NewOptions(capacity.Sizes(c.Only), progressbar.OptionSetWriter(env.Err), progressbar.OptionShowCount(), progressbar.OptionClearOnFinish())
+		done = func(name string) { bar.Describe(name); bar.Add(1) }
+	}
+	record, err := capacity.Run(&capacity.Env{Ctx: env.Ctx, Binary: binary, Dir: dir}, c.Only, done)
+	if err != nil {
+		return err
+	}
+	for i := range record.Series {
+		s := &record.Series[i]
+		fmt.Fprintf(env.Out, "%-26s %.4g + %.4g %s a %s, residual %.1f %%; at %.0f foretold %.4g, measured %.4g: missed by %+.1f %%\n", s.Name,
+			s.Fit.Base, s.Fit.Slope, s.Unit, s.Per, 100*s.Fit.Residual, s.Largest().Size, s.Fit.At(s.Largest().Size), s.Largest().Value, 100*s.Missed())
+	}
+	if len(c.Only) > 0 {
+		return nil
+	}
+	if err := os.MkdirAll(filepath.Dir(c.Record), 0o755); err != nil {
+		return err
+	}
+	if err := record.Save(c.Record); err != nil {
+		return err
+	}
+	return c.write(target)
+}
+
+func (c *capacityCmd) write(target *capacity.Target) error {
+	record, err := capacity.LoadRecord(c.Record)
+	if err != nil {
+		return err
+	}
+	return capacity.WritePage(c.Page, target, record)
+}
--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -37,6 +37,7 @@
 	Compare   compareCmd   `cmd:"" help:"Tell in what two results differ by more than chance."`
 	Collector collectorCmd `cmd:"" help:"Serve as an OTLP collector and show the traces that arrive."`
 	Count     countCmd     `cmd:"" help:"Add up the logs of a fleet over time: calls, refusals, lists, what is held."`
+	Capacity  capacityCmd  `cmd:"" help:"Measure what each part grows by, and write the page of capacity."`
 	Schema    schemaCmd    `cmd:"" help:"Print the XML Schema of experiment files."`
 }
 
