--- a/internal/lab/capacity/measure.go
+++ b/internal/lab/capacity/measure.go
@@ -26,8 +26,6 @@
 	Ctx    context.Context
 	Binary string // the sender's program
 	Dir    string // a scratch folder
-	// restarts holds what was seen of restarts, which two measurements read.
-	restarts map[int]restarted
 }
 
 // Run makes all measurements, or those whose names are given. done is told after each size.
--- a/internal/lab/capacity/measure_fleet.go
+++ b/internal/lab/capacity/measure_fleet.go
@@ -24,7 +24,7 @@
 		Sizes: []int{10, 30, 100, 300, 900}, Run: groupFrames,
 	}, {
 		Name: "link-frame", Role: roleVoter, What: "processor time of frames over a link, both ends", Unit: "ms", Per: "frame",
-		Sizes: []int{1000, 3000, 10000, 30000, 100000}, Repeats: 2, Run: linkFrames,
+		Sizes: []int{1000, 3000, 10000, 30000, 100000}, Repeats: 4, Run: linkFrames,
 	}, {
 		Name: "session-end", Role: roleVoter, What: "processor time to end one session, by the duties that the group holds", Unit: "us", Per: "duty",
 		Sizes: []int{80, 250, 800, 2500, duty.MaxDuties}, Repeats: 9, Run: sessionEnd,
--- a/internal/lab/capacity/measure_process.go
+++ b/internal/lab/capacity/measure_process.go
@@ -39,18 +39,18 @@
 		Unit: "MB", Per: "destination", Process: true, Sizes: []int{40, 130, 400, 1300, 4000}, Repeats: 2, Run: destinationMemory,
 	}, {
 		Name: "restart-memory", Role: roleSender, What: "resident memory of a sender that restarted with so many events of 500 bytes in its journal",
-		Unit: "MB", Per: "held event", Process: true, Sizes: held,
+		Unit: "MB", Per: "held event", Process: true, Sizes: held, Repeats: 3,
 		Run: func(e *Env, size int) (float64, error) { r, err := e.restart(size); return r.memory, err },
 	}, {
 		Name: "restart-ready", Role: roleSender, What: "time from the start until /up answers 200, with so many events in the journal",
-		Unit: "ms", Per: "held event", Process: true, Sizes: held,
+		Unit: "ms", Per: "held event", Process: true, Sizes: held, Repeats: 3,
 		Run: func(e *Env, size int) (float64, error) { r, err := e.restart(size); return r.ready, err },
 	}, {
 		Name: "held-memory", Role: roleSender, What: "resident memory of a sender that took so many events of 500 bytes for a destination that is down",
 		Unit: "MB", Per: "held event", Process: true, Sizes: []int{300, 1000, 3000, 10000, 30000}, Run: heldMemory,
 	}, {
 		Name: "event-cpu", Role: roleSender, What: "processor time of a sender that takes and delivers so many events of 500 bytes",
-		Unit: "ms", Per: "event", Process: true, Sizes: []int{300, 1000, 3000, 10000, 30000}, Run: eventTime,
+		Unit: "ms", Per: "event", Process: true, Sizes: []int{300, 1000, 3000, 10000, 30000}, Repeats: 2, Run: eventTime,
 	}}
 }
 
@@ -228,9 +228,6 @@
 
 // restart starts a sender with a journal of so many events.
 func (e *Env) restart(size int) (restarted, error) {
-	if r, seen := e.restarts[size]; seen {
-		return r, nil
-	}
 	dir, err := e.scratch()
 	if err != nil {
 		return restarted{}, err
@@ -245,11 +242,7 @@
 	}
 	defer p.stop()
 	memory, err := p.resident()
-	if e.restarts == nil {
-		e.restarts = map[int]restarted{}
-	}
-	e.restarts[size] = restarted{ready: float64(took) / 1e6, memory: memory}
-	return e.restarts[size], err
+	return restarted{ready: float64(took) / 1e6, memory: memory}, err
 }
 
 func heldMemory(e *Env, size int) (float64, error) {
--- a/internal/lab/capacity/measure_sender.go
+++ b/internal/lab/capacity/measure_sender.go
@@ -239,7 +239,7 @@
 		Run:   func(_ *Env, size int) (float64, error) { return float64(len(listText(size, "127.0.0.1:9"))) / 1e3, nil },
 	}, {
 		Name: "list-take", Role: roleList, What: "processor time to read a whole list and give it to the module", Unit: "ms", Per: "destination",
-		Sizes: []int{100, 300, 1000, 3000, 10000, discovery.MaxEndpoints}, Repeats: 3,
+		Sizes: []int{100, 300, 1000, 3000, 10000, discovery.MaxEndpoints}, Repeats: 9,
 		Run: func(_ *Env, size int) (float64, error) {
 			text := []byte(listText(size, "127.0.0.1:9"))
 			set := settings(1000)
