--- a/Makefile
+++ b/Makefile
@@ -72,7 +72,7 @@
 generate: ## the schema and the protobuf code, after their sources have changed
 	go run ./cmd/sliptide schema > deploy/sliptide.xsd.new && mv deploy/sliptide.xsd.new deploy/sliptide.xsd
 	go run ./cmd/sliptide-lab schema > experiments/experiment.xsd.new && mv experiments/experiment.xsd.new experiments/experiment.xsd
-	cd internal/fleet/pb && protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative fleet.proto
+	cd internal/fleet/pb && protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative fleet.proto directory.proto
 	cd internal/knowledge/pb && protoc --go_out=. --go_opt=paths=source_relative knowledge.proto
 
 run: build ## a sender with the example's configuration; `make toy` is the world round it
