--- /dev/null
+++ b/internal/fleet/directory/roster.go
@@ -0,0 +1,123 @@
+package directory
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sliptide/internal/fleet/pb"
+)
+
+// How long the member that leads waits before it takes members for lost.
+const (
+	// ControlSilence is the time after which a control member that does not report counts as lost, with all that have
+	// subscribed there, until they subscribe elsewhere.
+	ControlSilence = 4 * time.Second
+	// MemberGrace is how long a member that no control member reports keeps its shards: a restart in place, or a change
+	// to another control member, moves none.
+	MemberGrace = 6 * time.Second
+)
+
+// Sum is the sum of the names' hashes, by which two sets of members are compared.
+func Sum(names []string) (sum uint64) {
+	for _, name := range names {
+		sum += xxhash.Sum64String(name)
+	}
+	return sum
+}
+
+// reporter is one control member as the leader has heard it.
+type reporter struct {
+	seq     uint64
+	heardAt int64
+	members map[string]Member
+	sum     uint64
+}
+
+// Roster is the leader's book of who has subscribed where. It says which members join and leave the directory.
+type Roster struct {
+	reporters map[string]*reporter
+	lostAt    map[string]int64 // since when a member of the directory is reported by nobody
+	since     int64
+}
+
+// NewRoster returns the book of a member that begins to lead.
+func NewRoster(now int64) *Roster {
+	return &Roster{reporters: map[string]*reporter{}, lostAt: map[string]int64{}, since: now}
+}
+
+// Report takes a report, and returns whether all members are to be reported again.
+func (r *Roster) Report(from string, report *pb.Report, now int64) (again bool) {
+	c := r.reporters[from]
+	if c == nil {
+		c = &reporter{}
+		r.reporters[from] = c
+	}
+	if report.Seq <= c.seq && c.members != nil {
+		return false // a late copy
+	}
+	c.heardAt = now
+	if report.Whole {
+		c.members, c.sum = make(map[string]Member, len(report.Joined)), 0
+		for _, m := range report.Joined {
+			c.members[m.Name] = MemberOf(m)
+			c.sum += xxhash.Sum64String(m.Name)
+		}
+	}
+	if c.members == nil || uint64(len(c.members)) != report.Count || c.sum != report.Sum {
+		return true
+	}
+	c.seq = report.Seq
+	return false
+}
+
+// Tick returns the members that are to join the directory, and those that are to leave it.
+func (r *Roster) Tick(known map[string]Member, now int64) (joined, left []Member) {
+	reported := map[string]bool{}
+	for name, c := range r.reporters {
+		if now-c.heardAt > int64(ControlSilence) {
+			delete(r.reporters, name)
+			continue
+		}
+		for name, m := range c.members {
+			if reported[name] {
+				continue // of two reports, as a member changes over, either will do
+			}
+			reported[name] = true
+			if known[name] != m {
+				joined = append(joined, m)
+			}
+		}
+	}
+	for name, m := range known {
+		if reported[name] {
+			delete(r.lostAt, name)
+			continue
+		}
+		at, counted := r.lostAt[name]
+		if !counted {
+			at = now
+			r.lostAt[name] = at
+		}
+		// A leader that begins waits until the control members have had time to report.
+		if now-at > int64(MemberGrace) && now-r.since > int64(MemberGrace+ControlSilence) {
+			left = append(left, m)
+			delete(r.lostAt, name)
+		}
+	}
+	for name := range r.lostAt {
+		if _, there := known[name]; !there {
+			delete(r.lostAt, name)
+		}
+	}
+	byName := func(x, y Member) int {
+		if x.Name < y.Name {
+			return -1
+		}
+		return 1
+	}
+	slices.SortFunc(joined, byName)
+	slices.SortFunc(left, byName)
+	return joined, left
+}
