--- a/Makefile
+++ b/Makefile
@@ -71,6 +71,7 @@
 
 generate: ## the schema and the protobuf code, after their sources have changed
 	go run ./cmd/sliptide schema > deploy/sliptide.xsd.new && mv deploy/sliptide.xsd.new deploy/sliptide.xsd
+	go run ./cmd/sliptide control schema > deploy/control.xsd.new && mv deploy/control.xsd.new deploy/control.xsd
 	go run ./cmd/sliptide-lab schema > experiments/experiment.xsd.new && mv experiments/experiment.xsd.new experiments/experiment.xsd
 	cd internal/fleet/pb && protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative fleet.proto directory.proto
 	cd internal/knowledge/pb && protoc --go_out=. --go_opt=paths=source_relative knowledge.proto
--- a/cmd/sliptide/run.go
+++ b/cmd/sliptide/run.go
@@ -121,21 +121,15 @@
 	kept.Bind(snd.TakeOut)
 	go kept.Follow(ctx, snd.Follow, log)
 	listed := make(chan struct{}, 1)
-	asked := false // discovery is: what comes from here on is its word, an empty list too
-	watch := discovery.NewWatch(cfg.Discovery, &cfg.Settings, cfg.Seed, log, func(l discovery.List) {
-		snd.List(l)
-		if !asked && len(l.Entries) == 0 {
-			return // a known list without entries would meet the first messages with 503
-		}
+	source, err := openSource(cfg, op, snd, log, func() {
 		select {
 		case listed <- struct{}{}:
 		default:
 		}
 	})
-	if err := watch.Known(cfg.Known); err != nil {
-		log.Warn().Err(err).Msg("known is of no use, waiting for discovery")
+	if err != nil {
+		return err
 	}
-	asked = true
 	server := intake.New(&cfg.Settings, snd, clientRoom(sockets-calls, cfg.Limits), log)
 	if cfg.Admin != "" {
 		aln, err := net.Listen("tcp", cfg.Admin)
@@ -147,7 +141,7 @@
 		go admin.New(calls, log).Serve(aln)
 	}
 	go reload(ctx, hup, log, operatorFile, book, func(cfg *config.Config, op *operator.File) {
-		watch.Move(cfg.Discovery)
+		source.Move(cfg.Discovery)
 		notices.Move(cfg.Discovery)
 		memory.get().Keeper.Set(op.Knowledge)
 		snd.Retune(cfg.Settings)
@@ -164,7 +158,7 @@
 	}
 	go snd.Run()
 	go notices.Run(ctx)
-	go watch.Run(ctx)
+	go source.Run(ctx)
 	go server.Serve(ln)
 	log.Info().Int("restored", len(restored)).Str("listen", cfg.Listen).Str("discovery", cfg.Discovery).Msg("started")
 
--- /dev/null
+++ b/cmd/sliptide/shards_test.go
@@ -0,0 +1,323 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"sliptide/internal/fleet/shard"
+)
+
+// inForceWithin is the time within which a change is in force at every sender that can be reached.
+const inForceWithin = 20 * time.Second
+
+// controlTeam is three control members of one region, as processes.
+type controlTeam struct {
+	t         *testing.T
+	discovery string
+	replicas  int
+	members   []*controlMember
+}
+
+type controlMember struct {
+	name, addr, directory, path string
+	proc                        *exec.Cmd
+	logs                        logBuffer
+	exited                      chan struct{}
+}
+
+func newControlTeam(t *testing.T, discovery string, replicas int) *controlTeam {
+	c := &controlTeam{t: t, discovery: discovery, replicas: replicas}
+	for i := range 3 {
+		m := &controlMember{name: fmt.Sprintf("control-%d", i), addr: teamAddr(t), directory: teamAddr(t)}
+		c.members = append(c.members, m)
+	}
+	for _, m := range c.members {
+		dir := t.TempDir()
+		m.path = filepath.Join(dir, "control.xml")
+		var text strings.Builder
+		fmt.Fprintf(&text, `<control version="1" name=%q state="state" discovery=%q replicas="%d">`, m.name, discovery, replicas)
+		for _, other := range c.members {
+			fmt.Fprintf(&text, `<member name=%q addr=%q directory=%q region="r" voter="true"/>`, other.name, other.addr, other.directory)
+		}
+		text.WriteString(`<duties lease="1s" election="300ms"/></control>`)
+		if err := os.WriteFile(m.path, []byte(text.String()), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		c.start(m)
+	}
+	t.Cleanup(func() {
+		for _, m := range c.members {
+			c.kill(m)
+			if s := m.logs.String(); t.Failed() || strings.Contains(s, "DATA RACE") || strings.Contains(s, "panic") {
+				t.Errorf("log of %s:\n%s", m.name, s)
+			}
+		}
+	})
+	return c
+}
+
+func (c *controlTeam) start(m *controlMember) {
+	m.proc = exec.Command(binary, "control", "run", m.path)
+	m.proc.Env = append(os.Environ(), "GORACE=atexit_sleep_ms=0")
+	m.proc.Stderr = &m.logs
+	if err := m.proc.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	exited := make(chan struct{})
+	m.exited = exited
+	go func(proc *exec.Cmd) { proc.Wait(); close(exited) }(m.proc)
+}
+
+func (c *controlTeam) kill(m *controlMember) {
+	if m.proc != nil {
+		m.proc.Process.Signal(syscall.SIGKILL)
+		<-m.exited
+		m.proc = nil
+	}
+}
+
+// leader is the control member that began to lead last and still runs.
+func (c *controlTeam) leader() *controlMember {
+	c.t.Helper()
+	for end := time.Now().Add(patient); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		for _, m := range c.members {
+			if s := m.logs.String(); m.proc != nil && strings.LastIndex(s, "directory: leads\"") > strings.LastIndex(s, "leads no more\"") {
+				return m
+			}
+		}
+	}
+	c.t.Fatal("no control member leads")
+	return nil
+}
+
+// operator is what an operators' file of a sender holds.
+func (c *controlTeam) operator(zone string) string {
+	var text strings.Builder
+	fmt.Fprintf(&text, `<fleet><shards enabled="true" region="r" zone=%q replicas="%d">`, zone, c.replicas)
+	for _, m := range c.members {
+		fmt.Fprintf(&text, `<control name=%q addr=%q region="r"/>`, m.name, m.directory)
+	}
+	return text.String() + `</shards></fleet>`
+}
+
+// shardRigs are senders of one sharded fleet with one discovery, that of the first, whose list names count destinations
+// of one partner.
+type shardRigs struct {
+	t       *testing.T
+	control *controlTeam
+	rigs    []*rig
+	mu      sync.Mutex
+	calls   map[string]int // at the partner, by message
+	hang    map[string]chan struct{}
+}
+
+func newShardRigs(t *testing.T, senders, destinations, replicas int) *shardRigs {
+	t.Parallel()
+	s := &shardRigs{t: t, calls: map[string]int{}, hang: map[string]chan struct{}{}}
+	first := makeRigSerially(t, "")
+	partner := first.partner("partner", 0, func(w http.ResponseWriter, q *http.Request) {
+		id := q.Header.Get("X-Trace-Id")
+		s.mu.Lock()
+		s.calls[id]++
+		wait := s.hang[id]
+		s.mu.Unlock()
+		if id == "held" && s.count(id) == 1 {
+			w.Header().Set("Retry-After", "2")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if wait != nil {
+			<-wait
+		}
+	})
+	first.change(func() {
+		first.list = nil
+		for d := range destinations {
+			e := partner
+			e.ID, e.Cell = fmt.Sprintf("e-%d", d), d
+			first.list = append(first.list, e)
+		}
+	})
+	s.control = newControlTeam(t, first.config["discovery"].(string), replicas)
+	s.rigs = append(s.rigs, first)
+	for len(s.rigs) < senders {
+		s.rigs = append(s.rigs, makeRigSerially(t, ""))
+	}
+	for i, r := range s.rigs {
+		s.prepare(i, r)
+	}
+	return s
+}
+
+// makeRigSerially is makeRig; the test is parallel already.
+func makeRigSerially(t *testing.T, operator string) *rig {
+	return makeRig(t, operator, func(settings, _ map[string]any) {
+		settings["services"] = []any{map[string]any{"name": "note", "aim": 4000, "deadline": 60000, "effect": "keyed", "key_scope": "all", "memory_span": 60000, "worth": 1, "late_worth": 0.4}}
+	})
+}
+
+func (s *shardRigs) prepare(i int, r *rig) {
+	r.config["name"] = fmt.Sprintf("sender-%d", i)
+	r.config["known"] = map[string]any{"version": 0, "full": true, "servers": []any{}}
+	r.operate(s.control.operator(fmt.Sprintf("z%d", i)))
+}
+
+// try hands a message in and returns the status, and who serves its destination where that was told.
+func (s *shardRigs) try(i int, id string, dest int) (status int, belongs []string) {
+	s.t.Helper()
+	response, err := s.rigs[i].tryHandIn(id, dest, 50, "x")
+	if err != nil {
+		return 0, nil
+	}
+	if text := response.Header.Get("X-Belongs-To"); text != "" {
+		belongs = strings.Split(text, ", ")
+	}
+	return response.StatusCode, belongs
+}
+
+// served waits until each destination is taken on by the senders that are to serve it, and refused by the others with
+// their names.
+func (s *shardRigs) served(round string, up []int, destinations, replicas int) {
+	s.t.Helper()
+	wrong := ""
+	for end := time.Now().Add(inForceWithin); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		wrong = ""
+		for d := range destinations {
+			var takers, named []string
+			for _, i := range up {
+				status, belongs := s.try(i, fmt.Sprintf("%s-%d-%d-%d", round, d, i, time.Now().UnixNano()), d)
+				switch status {
+				case 202:
+					takers = append(takers, fmt.Sprintf("sender-%d", i))
+				case 421:
+					named = belongs
+				default:
+					wrong = fmt.Sprintf("destination %d: sender-%d answers %d", d, i, status)
+				}
+			}
+			slices.Sort(named)
+			if len(takers) != min(replicas, len(up)) || len(up) > replicas && !slices.Equal(takers, named) {
+				wrong = fmt.Sprintf("destination %d: taken on by %v, said to belong to %v", d, takers, named)
+			}
+			if wrong != "" {
+				break
+			}
+		}
+		if wrong == "" {
+			return
+		}
+	}
+	s.t.Fatalf("%s: %s, %v after the change", round, wrong, inForceWithin)
+}
+
+// Senders of a sharded fleet take on what their shards' destinations are handed in for, and say of others who serves
+// them, before any 202. That stays so as the leader of the control members is killed, a destination comes, and a sender
+// is killed and comes back.
+func TestShards(t *testing.T) {
+	const destinations, replicas = 12, 2
+	s := newShardRigs(t, 3, destinations, replicas)
+	for _, r := range s.rigs {
+		r.start()
+	}
+	s.served("first", []int{0, 1, 2}, destinations, replicas)
+
+	s.control.kill(s.control.leader())
+	first := s.rigs[0]
+	first.change(func() { // a further destination, that of one whose endpoint is known
+		e := first.list[0]
+		e.ID, e.Cell = "e-new", destinations
+		first.list = append(first.list, e)
+	})
+	s.served("a further destination", []int{0, 1, 2}, destinations+1, replicas)
+
+	s.rigs[2].kill(syscall.SIGKILL)
+	s.served("two are left", []int{0, 1}, destinations+1, replicas)
+	s.rigs[2].start()
+	s.served("back", []int{0, 1, 2}, destinations+1, replicas)
+}
+
+// A shard leaves with a call out and a message held: both end here, while new messages are refused with word of who
+// serves the destination now.
+func TestLeavingShardEndsItsMessagesHere(t *testing.T) {
+	const destinations, replicas = 40, 1
+	s := newShardRigs(t, 3, destinations, replicas)
+	table := shard.NewTable(replicas)
+	table.Update([]shard.Member{{Name: "sender-0", Zone: "z0", Weight: 1}, {Name: "sender-1", Zone: "z1", Weight: 1}}, nil)
+	before := map[int]string{}
+	for d := range destinations {
+		before[d] = table.Replicas(shard.Of(uint64(d)))[0]
+	}
+	table.Update([]shard.Member{{Name: "sender-2", Zone: "z2", Weight: 1}}, nil)
+	moves, owner := -1, 0
+	for d := range destinations {
+		if table.Replicas(shard.Of(uint64(d)))[0] == "sender-2" {
+			moves = d
+			owner = int(before[d][len("sender-")] - '0')
+		}
+	}
+	if moves < 0 {
+		t.Fatal("no destination moves")
+	}
+	s.rigs[0].start()
+	s.rigs[1].start()
+	s.served("two", []int{0, 1}, destinations, replicas)
+
+	out := make(chan struct{})
+	s.mu.Lock()
+	s.hang["out"] = out
+	s.mu.Unlock()
+	if status, _ := s.try(owner, "out", moves); status != 202 {
+		t.Fatalf("the message whose call is to be out: %d", status)
+	}
+	if status, _ := s.try(owner, "held", moves); status != 202 {
+		t.Fatalf("the message that is to be held: %d", status)
+	}
+	s.eventually("a call is out, and the other message is told to wait", func() bool { return s.calls["out"] == 1 && s.calls["held"] == 1 })
+	s.rigs[2].start()
+	for end := time.Now().Add(inForceWithin); ; time.Sleep(50 * time.Millisecond) {
+		status, belongs := s.try(owner, fmt.Sprintf("new-%d", time.Now().UnixNano()), moves)
+		if status == 421 && slices.Equal(belongs, []string{"sender-2"}) {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("destination %d moves from sender-%d to sender-2: a new message is answered %d, %v", moves, owner, status, belongs)
+		}
+	}
+	close(out)
+	s.eventually("the held message is called again after its wait", func() bool { return s.calls["held"] == 2 })
+	s.served("three", []int{0, 1, 2}, destinations, replicas)
+	if n := s.count("out"); n != 1 {
+		t.Errorf("the message whose call was out was called %d times", n)
+	}
+}
+
+// count is how often the partner was called with a message.
+func (s *shardRigs) count(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[id]
+}
+
+func (s *shardRigs) eventually(what string, holds func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(patient); ; time.Sleep(5 * time.Millisecond) {
+		s.mu.Lock()
+		yes := holds()
+		s.mu.Unlock()
+		if yes {
+			return
+		}
+		if time.Now().After(end) {
+			s.t.Fatalf("not in time: %s", what)
+		}
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -28,6 +28,8 @@
 	Out, Err io.Writer
 	// Run runs a sender until it is told to stop. An error that wraps ErrConfig is of the configuration.
 	Run func(operatorFile string) error
+	// Control runs a control member by its file until it is told to stop.
+	Control func(file string) error
 	// Now is the time in Unix milliseconds.
 	Now func() float64
 }
@@ -40,6 +42,7 @@
 	Journal   journalCmd   `cmd:"" help:"Look at what a sender has taken on."`
 	Partner   partnerCmd   `cmd:"" help:"Look at partners."`
 	Fleet     fleetCmd     `cmd:"" help:"Look at a fleet of senders and its duties, by asking a running member."`
+	Control   controlCmd   `cmd:"" help:"Run or look at a control member, which keeps the directory of a sharded fleet."`
 	Lab       labCmd       `cmd:"" help:"Try settings and partners in an emulator (starts sliptide-lab)."`
 	Version   versionCmd   `cmd:"" help:"Print the version."`
 }
--- /dev/null
+++ b/internal/cli/control.go
@@ -0,0 +1,88 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"sliptide/internal/control"
+	"sliptide/internal/fleet/pb"
+	"sliptide/internal/keys"
+)
+
+type controlCmd struct {
+	Run    controlRun    `cmd:"" help:"Run a control member."`
+	Check  controlCheck  `cmd:"" help:"Check a control member's file as a start would."`
+	Status controlStatus `cmd:"" help:"What a control member holds, who leads, and how many have subscribed there."`
+	Schema controlSchema `cmd:"" help:"Print the XML Schema of a control member's file."`
+}
+
+type controlRun struct {
+	File string `arg:"" help:"The control member's file."`
+}
+
+// Run runs the command.
+func (c *controlRun) Run(env *Env) error { return env.Control(c.File) }
+
+type controlCheck struct {
+	File string `arg:"" help:"The control member's file."`
+}
+
+// Run runs the command.
+func (c *controlCheck) Run(env *Env) error {
+	if _, err := control.Load(c.File); err != nil {
+		return fmt.Errorf("%w%w", misuse, err)
+	}
+	fmt.Fprintf(env.Out, "%s: fine\n", c.File)
+	return nil
+}
+
+type controlSchema struct{}
+
+// Run runs the command.
+func (c *controlSchema) Run(env *Env) error {
+	_, err := fmt.Fprint(env.Out, control.Schema())
+	return err
+}
+
+type controlStatus struct {
+	File string `arg:"" help:"A control member's file, whose members are asked."`
+	JSON bool   `help:"For programs."`
+}
+
+// Run runs the command.
+func (c *controlStatus) Run(env *Env) error {
+	set, err := control.Load(c.File)
+	if err != nil {
+		return fmt.Errorf("%w%w", misuse, err)
+	}
+	with, _, err := keys.Load(keys.Files{CA: set.CA, Cert: set.Cert, Key: set.Key}, time.Now())
+	if set.Cert == "" {
+		with, err = nil, nil
+	}
+	if err != nil {
+		return err
+	}
+	answered := 0
+	for _, m := range set.Members {
+		a, err := askAt(m.Directory, with, &pb.Ask{Status: &pb.Status{}})
+		if err != nil {
+			fmt.Fprintf(env.Err, "%s at %s: %v\n", m.Name, m.Directory, err)
+			continue
+		}
+		answered++
+		if c.JSON {
+			fmt.Fprintln(env.Out, a.Status)
+			continue
+		}
+		var s control.Status
+		if err := json.Unmarshal([]byte(a.Status), &s); err != nil {
+			return err
+		}
+		fmt.Fprintf(env.Out, "%s: leader %q, version %d, discovery's %d, %d endpoints, %d members, %d subscribed here\n", s.Name, s.Leader, s.Version, s.Source, s.Endpoints, s.Members, s.Subscribers)
+	}
+	if answered == 0 {
+		return fmt.Errorf("no control member answers")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/settings.go
@@ -0,0 +1,169 @@
+// Package control is a control member: it keeps the directory of endpoints and members (internal/fleet/directory), leads
+// or follows the control member that does, and serves senders that subscribe. Which of the control members leads is a
+// duty of their group (internal/fleet), which only they are members of.
+package control
+
+import (
+	"crypto/tls"
+	"fmt"
+	"net"
+	"net/netip"
+	"path/filepath"
+	"time"
+
+	"sliptide/internal/keys"
+	"sliptide/internal/strictxml"
+)
+
+// Member is one control member by the settings.
+type Member struct {
+	Name      string
+	Addr      string // where it takes links of the group
+	Directory string // where it takes links of subscribers
+	Region    string
+	Voter     bool
+}
+
+// Settings are what a control member is told.
+type Settings struct {
+	Name      string // of this member
+	State     string // its folder
+	Discovery string // address of the discovery agent
+	Replicas  int
+	Members   []Member
+	Lease     time.Duration
+	Drift     float64
+	Election  time.Duration
+	CA        string
+	Cert, Key string
+	MaxList   int64 // bytes of the list that discovery answers with
+}
+
+// Self is this member's own line.
+func (s *Settings) Self() Member {
+	for _, m := range s.Members {
+		if m.Name == s.Name {
+			return m
+		}
+	}
+	return Member{}
+}
+
+func spec() *strictxml.Element[Settings] {
+	type attribute = strictxml.Attribute[Settings]
+	type element = strictxml.Element[Settings]
+	name := strictxml.Text("[a-zA-Z0-9._-]{1,60}", "letters, digits, dots, dashes and underscores")
+	addr := strictxml.Text(`[0-9a-fA-F.:\[\]]{3,60}`, "an IP address and a port, such as 127.0.0.1:7401")
+	path := strictxml.Text("[^<>]{1,1000}", "a path")
+	last := func(s *Settings) *Member { return &s.Members[len(s.Members)-1] }
+	drifts := []float64{0.01, 0.02, 0.05, 0.1, 0.2}
+	return &element{
+		Name: "control", Doc: "A control member: it keeps the directory of a fleet whose destinations are sharded.",
+		Attrs: []attribute{
+			{Name: "version", Required: true, Doc: "The form of this file.", Values: strictxml.OneOf("1")},
+			{Name: "name", Required: true, Doc: "This member's name, one of those below.", Values: name, Text: func(s *Settings, v string) { s.Name = v }},
+			{Name: "state", Required: true, Doc: "The folder that lasts, which belongs to this member alone.", Values: path, Text: func(s *Settings, v string) { s.State = v }},
+			{Name: "discovery", Required: true, Doc: "Address of the discovery agent.", Values: addr, Text: func(s *Settings, v string) { s.Discovery = v }},
+			{Name: "replicas", Fallback: "2", Doc: "Senders of each region that serve a destination; alike in all members' files and the senders'.", Values: strictxml.Whole(1, 5), Put: func(s *Settings, v int64) { s.Replicas = int(v) }},
+			{Name: "max-list", Fallback: "1GiB", Doc: "The longest list of endpoints that is read.", Values: strictxml.Sized(64<<10, 1<<34), Put: func(s *Settings, v int64) { s.MaxList = v }},
+			{Name: "ca", Doc: "CA certificates in PEM that the members' and senders' own are signed by. With cert and key: links use TLS both ways.", Values: path, Text: func(s *Settings, v string) { s.CA = v }},
+			{Name: "cert", Doc: "This member's certificate in PEM.", Values: path, Text: func(s *Settings, v string) { s.Cert = v }},
+			{Name: "key", Doc: "Its key in PEM, which nobody else may read.", Values: path, Text: func(s *Settings, v string) { s.Key = v }},
+		},
+		Children: []element{{
+			Name: "member", Doc: "One control member; all files list the same ones.", Repeated: true, Unique: "name",
+			Add: func(s *Settings) { s.Members = append(s.Members, Member{}) },
+			Attrs: []attribute{
+				{Name: "name", Required: true, Doc: "Its name.", Values: name, Text: func(s *Settings, v string) { last(s).Name = v }},
+				{Name: "addr", Required: true, Doc: "Where it takes links of the other control members' group.", Values: addr, Text: func(s *Settings, v string) { last(s).Addr = v }},
+				{Name: "directory", Required: true, Doc: "Where it takes links of senders and control members that subscribe.", Values: addr, Text: func(s *Settings, v string) { last(s).Directory = v }},
+				{Name: "region", Required: true, Doc: "Where it stands.", Values: name, Text: func(s *Settings, v string) { last(s).Region = v }},
+				{Name: "voter", Fallback: "false", Doc: "It votes on who leads. 3 or 5 members do, in different regions where there are several.", Values: strictxml.OneOf("false", "true"), Put: func(s *Settings, v int64) { last(s).Voter = v == 1 }},
+			},
+		}, {
+			Name: "duties", Doc: "How long the member that leads may rely on it.",
+			Attrs: []attribute{
+				{Name: "lease", Fallback: "2s", Doc: "A leader that is cut off or stopped gives up within it; at least twice the election time.", Values: strictxml.Between(200*time.Millisecond, time.Minute), Put: func(s *Settings, v int64) { s.Lease = time.Duration(v) }},
+				{Name: "drift", Fallback: "0.05", Doc: "The share by which a member's clock may run fast or slow.", Values: strictxml.OneOf("0.01", "0.02", "0.05", "0.1", "0.2"), Put: func(s *Settings, v int64) { s.Drift = drifts[v] }},
+				{Name: "election", Fallback: "500ms", Doc: "A voter that hears nothing of a leader for so long asks to lead.", Values: strictxml.Between(100*time.Millisecond, 20*time.Second), Put: func(s *Settings, v int64) { s.Election = time.Duration(v) }},
+			},
+		}},
+	}
+}
+
+// Schema returns the XML Schema of a control member's file.
+func Schema() string {
+	return strictxml.Schema(spec(), `The schema of a control member's file. "sliptide control schema" writes it.`)
+}
+
+// Load reads a control member's file; the files that it names are relative to its folder.
+func Load(path string) (*Settings, error) {
+	s, err := strictxml.Open(path, spec())
+	if err != nil {
+		return nil, err
+	}
+	if what, allowed := s.check(); what != "" {
+		return nil, &strictxml.Error{File: path, What: what, Allowed: allowed}
+	}
+	for _, name := range []*string{&s.State, &s.CA, &s.Cert, &s.Key} {
+		if *name != "" && !filepath.IsAbs(*name) {
+			*name = filepath.Join(filepath.Dir(path), *name)
+		}
+	}
+	return s, nil
+}
+
+// check finds what the table cannot: values that do not go together.
+func (s *Settings) check() (what, allowed string) {
+	voters := 0
+	used := map[string]string{}
+	for _, m := range s.Members {
+		if m.Voter {
+			voters++
+		}
+		for _, addr := range []string{m.Addr, m.Directory} {
+			if bad := checkAddr(addr, s.Cert != ""); bad != "" {
+				return fmt.Sprintf("member %q: address %q", m.Name, addr), bad
+			}
+			if other := used[addr]; other != "" {
+				return fmt.Sprintf("members %q and %q both have the address %q", other, m.Name, addr), "one each, addr and directory apart"
+			}
+			used[addr] = m.Name
+		}
+	}
+	switch {
+	case voters != 3 && voters != 5:
+		return fmt.Sprintf("%d members have voter=\"true\"", voters), "3 or 5, so that a majority stays when one or two are lost"
+	case s.Self().Name == "":
+		return fmt.Sprintf("name=%q is no <member>", s.Name), "the name of one of them"
+	case s.Lease < 2*s.Election:
+		return fmt.Sprintf("duties: lease=%q", s.Lease), fmt.Sprintf("%v or more: two election times, or each election would end the lease", 2*s.Election)
+	case (s.Cert == "") != (s.Key == "") || (s.Cert == "") != (s.CA == ""):
+		return "ca, cert and key", "all or none"
+	}
+	return "", ""
+}
+
+func checkAddr(addr string, keys bool) (allowed string) {
+	host, port, err := net.SplitHostPort(addr)
+	ip, bad := netip.ParseAddr(host)
+	switch {
+	case err != nil || bad != nil || port == "" || port == "0":
+		return "an IP address and a port, such as 127.0.0.1:7401"
+	case !keys && !ip.IsLoopback() && !ip.IsPrivate():
+		return "loopback and private addresses, or ca, cert and key: links are else open to whoever reaches them"
+	}
+	return ""
+}
+
+// tlsConfigs are for the links that this member dials and takes; nil: no TLS.
+func (s *Settings) tlsConfigs() (client, server *tls.Config, err error) {
+	if s.Cert == "" {
+		return nil, nil, nil
+	}
+	client, _, err = keys.Load(keys.Files{CA: s.CA, Cert: s.Cert, Key: s.Key}, time.Now())
+	if err != nil {
+		return nil, nil, err
+	}
+	return client, &tls.Config{MinVersion: tls.VersionTLS12, Certificates: client.Certificates, ClientCAs: client.RootCAs, ClientAuth: tls.RequireAndVerifyClientCert}, nil
+}
--- /dev/null
+++ b/internal/control/settings_test.go
@@ -0,0 +1,60 @@
+package control
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const goodFile = `<control version="1" name="c1" state="state" discovery="127.0.0.1:8500">
+ <member name="c1" addr="127.0.0.1:7301" directory="127.0.0.1:7401" region="r1" voter="true"/>
+ <member name="c2" addr="127.0.0.1:7302" directory="127.0.0.1:7402" region="r2" voter="true"/>
+ <member name="c3" addr="127.0.0.1:7303" directory="127.0.0.1:7403" region="r3" voter="true"/>
+</control>`
+
+func load(t *testing.T, text string) (*Settings, error) {
+	path := filepath.Join(t.TempDir(), "control.xml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return Load(path)
+}
+
+func TestSettings(t *testing.T) {
+	s, err := load(t, goodFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Self().Region != "r1" || s.Replicas != 2 || s.Lease != 2*time.Second || len(s.Members) != 3 || !filepath.IsAbs(s.State) || s.MaxList != 1<<30 {
+		t.Errorf("%+v", s)
+	}
+	for _, bad := range []struct{ from, to, want string }{
+		{`name="c1" state`, `name="c9" state`, `name="c9" is no <member>`},
+		{`region="r3" voter="true"`, `region="r3"`, "3 or 5"},
+		{`directory="127.0.0.1:7403"`, `directory="127.0.0.1:7303"`, "addr and directory apart"},
+		{`addr="127.0.0.1:7302"`, `addr="192.0.2.1:7302"`, "loopback and private addresses"},
+		{`addr="127.0.0.1:7302"`, `addr="127.0.0.1"`, "an IP address and a port"},
+		{`</control>`, `<duties lease="1s" election="600ms"/></control>`, "1.2s or more"},
+		{`discovery="127.0.0.1:8500"`, `discovery="127.0.0.1:8500" cert="c.pem"`, "all or none"},
+		{`discovery="127.0.0.1:8500"`, `discovery="127.0.0.1:8500" replicas="9"`, "replicas"},
+		{` discovery="127.0.0.1:8500"`, ``, "discovery"},
+		{`region="r2"`, `region="r2" rack="7"`, "rack"},
+	} {
+		if _, err := load(t, strings.Replace(goodFile, bad.from, bad.to, 1)); err == nil || !strings.Contains(err.Error(), bad.want) {
+			t.Errorf("%q in place of %q: error %v, want one about %q", bad.to, bad.from, err, bad.want)
+		}
+	}
+}
+
+// The schema in deploy/ is that of this version.
+func TestSchemaIsCurrent(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/control.xsd")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(text) != Schema() {
+		t.Error("deploy/control.xsd is not what `sliptide control schema` writes: make generate")
+	}
+}
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -26,9 +26,10 @@
 	mu        sync.Mutex
 	addr      string
 	interrupt context.CancelFunc // ends the call that is out; nil: none has been made
+	maxBody   int                // bytes of an answer
 }
 
-func newClient(addr string) *client { return &client{addr: addr} }
+func newClient(addr string) *client { return &client{addr: addr, maxBody: MaxList} }
 
 // host is the agent's address.
 func (c *client) host() string {
@@ -86,7 +87,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c.nc, c.rd = nc, http1.NewReaderBound(nc, MaxList)
+		c.nc, c.rd = nc, http1.NewReaderBound(nc, c.maxBody)
 	}
 	nc := c.nc
 	end, _ := ctx.Deadline()
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -30,11 +30,14 @@
 	policy.Endpoint
 	Name string // which it keeps over restarts of either side
 	Addr string
+	// What the list calls its zone and kind; empty but in a Directory's lists.
+	ZoneName, KindName string
 }
 
 // List is the whole list of endpoints, or changes to it.
 type List struct {
 	Full    bool
+	Version uint64 // that the agent gave it
 	Entries []Endpoint
 }
 
@@ -52,16 +55,28 @@
 	synced  bool   // the version stands for all that has been told, and nothing was missed since
 	of      string // the agent whose version it is
 	full    bool   // an endpoint past MaxEndpoints has been reported
+	names   bool   // entries carry names of zones and kinds in place of numbers
 }
 
 // errListTooLong is the error of a list over MaxList. What was known stays in force.
-var errListTooLong = fmt.Errorf("the list of endpoints is over %d bytes, the longest that is read: what was known stays in force", MaxList)
+var errListTooLong = errors.New("the list of endpoints is longer than the longest that is read: what was known stays in force")
 
 // NewWatch returns a Watch on the agent at addr. The seed spreads its calls over time.
 func NewWatch(addr string, set *policy.Settings, seed uint64, log zerolog.Logger, update func(List)) *Watch {
 	return &Watch{Settings: set, Log: log, Update: update, agent: newClient(addr), pace: newPace(set, seed), ids: map[string]uint32{}}
 }
 
+// NewDirectoryWatch returns a Watch for a control member, which keeps the list for others: it reads lists of up to
+// maxBody bytes and any number of endpoints, which carry names in place of numbers. It begins with what has changed
+// since version, 0 with the whole list.
+func NewDirectoryWatch(addr string, version uint64, maxBody int, seed uint64, log zerolog.Logger, update func(List)) *Watch {
+	set := &policy.Settings{Senders: 1}
+	w := NewWatch(addr, set, seed, log, update)
+	w.names, w.agent.maxBody = true, maxBody
+	w.version, w.synced, w.of = version, version != 0, addr
+	return w
+}
+
 // Move makes the watch follow the agent at addr, beginning with its whole list: its
 // versions need not be the old one's.
 func (w *Watch) Move(addr string) { w.agent.move(addr) }
@@ -103,7 +118,7 @@
 		switch {
 		case errors.Is(err, errListTooLong):
 			if !tooLong {
-				w.Log.Error().Err(err).Int("bytes_allowed", MaxList).Msg("list of endpoints too long")
+				w.Log.Error().Err(err).Int("bytes_allowed", w.agent.maxBody).Msg("list of endpoints too long")
 			}
 			tooLong = true
 		case failed == 1:
@@ -151,13 +166,13 @@
 	if servers == nil || servers.Type() != fastjson.TypeArray {
 		return fmt.Errorf("list of endpoints: no servers")
 	}
-	list := List{Full: v.GetBool("full")}
+	list := List{Full: v.GetBool("full"), Version: v.GetUint64("version")}
 	for _, s := range servers.GetArray() {
 		if e, ok := w.entry(s); ok {
 			list.Entries = append(list.Entries, e)
 		}
 	}
-	w.version = v.GetUint64("version")
+	w.version = list.Version
 	if list.Full || len(list.Entries) > 0 {
 		w.Update(list)
 	}
@@ -184,6 +199,11 @@
 		w.Log.Warn().Str("endpoint", name).Str("addr", strconv.Quote(e.Addr)).Msg("no address: passed over")
 		return Endpoint{}, false
 	}
+	e.Dest, e.Rating = s.GetInt("cell"), s.GetFloat64("weight")
+	if w.names {
+		e.ZoneName, e.KindName = string(s.GetStringBytes("zone")), string(s.GetStringBytes("kind"))
+		return e, true
+	}
 	id, ok := w.ids[name]
 	if !ok {
 		if len(w.ids) >= MaxEndpoints {
@@ -193,7 +213,7 @@
 		id = uint32(len(w.ids) + 1)
 		w.ids[name] = id
 	}
-	e.ID, e.Dest, e.Rating = id, s.GetInt("cell"), s.GetFloat64("weight")
+	e.ID = id
 	e.Zone = position(w.Settings.Zones, string(s.GetStringBytes("zone")))
 	e.Kind = slices.IndexFunc(w.Settings.Kinds, func(k policy.DestKind) bool {
 		return k.Name == string(s.GetStringBytes("kind"))
--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -329,3 +329,15 @@
 	c := Change{From: a.From, To: a.To, Source: a.Source, Endpoints: a.Endpoints, Joined: a.Joined, Left: a.Left}
 	return d.Apply(c)
 }
+
+// Locate is the destination of an endpoint that is held, by a look at all of them; for the rare line that names none.
+func (d *Directory) Locate(id string) (destination uint64, held bool) {
+	for i := range d.shards {
+		list := d.shards[i]
+		at, there := slices.BinarySearchFunc(list, id, func(x Endpoint, id string) int { return cmp.Compare(x.ID, id) })
+		if there {
+			return list[at].Destination, true
+		}
+	}
+	return 0, false
+}
--- a/internal/fleet/directory/publisher.go
+++ b/internal/fleet/directory/publisher.go
@@ -37,7 +37,8 @@
 	version    uint64              // that it was told
 	scanned    uint64              // up to which the log holds nothing further for it
 	shards     map[shard.ID]bool   // that it holds, or is to get
-	serves     map[shard.ID]bool   // that it was told to serve
+	serves     map[shard.ID]bool   // that it was told to serve in this subscription
+	compared   bool                // with the table: it was told what it serves
 	lacks      []shard.ID          // snapshots to be sent
 	whole      bool                // the snapshots are of all that it holds, and so are members
 	middle     bool                // parts of an update are out, others are to follow
@@ -181,6 +182,11 @@
 	if !t.Has(s.Name) {
 		return // it is not known to have joined, or no longer: it goes on with what it has
 	}
+	// The first time it is told all: what it holds may be less, or more, than what it served.
+	was := s.serves
+	if !s.compared {
+		was, s.compared = maps.Clone(s.shards), true
+	}
 	wanted := t.Shards(s.Name)
 	serves := make(map[shard.ID]bool, len(wanted))
 	for _, id := range wanted {
@@ -195,7 +201,7 @@
 			s.lacks = append(s.lacks, id)
 		}
 	}
-	for id := range s.serves {
+	for id := range was {
 		if !serves[id] {
 			delete(s.assigned, id)
 			s.unassigned[id] = true
@@ -253,7 +259,6 @@
 	for _, id := range q.Shards {
 		if id < shard.Count {
 			p.hold(s, shard.ID(id))
-			s.serves[shard.ID(id)] = true
 		}
 	}
 	if _, reaches := p.dir.Since(q.Version); reaches {
--- a/internal/fleet/directory/roster.go
+++ b/internal/fleet/directory/roster.go
@@ -27,6 +27,26 @@
 	return sum
 }
 
+// SumOf is the Sum of members' names.
+func SumOf(members []Member) (sum uint64) {
+	for i := range members {
+		sum += xxhash.Sum64String(members[i].Name)
+	}
+	return sum
+}
+
+// ReportOf is a control member's report of the members that have subscribed there, whole or by their sum alone.
+func ReportOf(seq uint64, members []Member, whole bool) *pb.Report {
+	r := &pb.Report{Seq: seq, Whole: whole, Count: uint64(len(members)), Sum: SumOf(members)}
+	for i := range members {
+		if !whole {
+			break
+		}
+		r.Joined = append(r.Joined, members[i].message(false))
+	}
+	return r
+}
+
 // reporter is one control member as the leader has heard it.
 type reporter struct {
 	seq     uint64
@@ -40,13 +60,18 @@
 	reporters map[string]*reporter
 	lostAt    map[string]int64 // since when a member of the directory is reported by nobody
 	since     int64
+	grace     time.Duration
+	wait      time.Duration // of a leader that begins
 }
 
 // NewRoster returns the book of a member that begins to lead.
 func NewRoster(now int64) *Roster {
-	return &Roster{reporters: map[string]*reporter{}, lostAt: map[string]int64{}, since: now}
+	return &Roster{reporters: map[string]*reporter{}, lostAt: map[string]int64{}, since: now, grace: MemberGrace, wait: MemberGrace + ControlSilence}
 }
 
+// NoGrace takes the guard out by which members keep their shards for a while, for runs that show what finds that.
+func (r *Roster) NoGrace() { r.grace, r.wait = 0, 0 }
+
 // Report takes a report, and returns whether all members are to be reported again.
 func (r *Roster) Report(from string, report *pb.Report, now int64) (again bool) {
 	c := r.reporters[from]
@@ -101,7 +126,7 @@
 			r.lostAt[name] = at
 		}
 		// A leader that begins waits until the control members have had time to report.
-		if now-at > int64(MemberGrace) && now-r.since > int64(MemberGrace+ControlSilence) {
+		if now-at > int64(r.grace) && now-r.since > int64(r.wait) {
 			left = append(left, m)
 			delete(r.lostAt, name)
 		}
--- a/internal/fleet/directory/subscription.go
+++ b/internal/fleet/directory/subscription.go
@@ -86,6 +86,14 @@
 // Shards is how many shards are held.
 func (s *Subscription) Shards() int { return len(s.shards) }
 
+// Hold makes a subscription ask for shards whoever serves them, before it connects first: messages for them are left of
+// an earlier life.
+func (s *Subscription) Hold(ids []shard.ID) {
+	for _, id := range ids {
+		s.shards[id] = true
+	}
+}
+
 // Resume makes a subscription that holds no shards by itself, such as a control member's, go on from a version.
 func (s *Subscription) Resume(version uint64) { s.version = version }
 
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -8,6 +8,7 @@
 package link
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -55,6 +56,10 @@
 	// Call answers an operator's command.
 	Call func(ctx context.Context, a *pb.Ask) (*pb.Answer, error)
 	Note func(what, member string, err error) // a change of state, for the log
+	// How often a link says that it is there, how long one may say nothing, and how many are accepted; 0: as for voters.
+	PingEvery time.Duration
+	Silent    time.Duration
+	MaxLinks  int
 }
 
 // Net is a member's links.
@@ -85,6 +90,7 @@
 
 // New returns a Net, and dials.
 func New(o Options) *Net {
+	o.PingEvery, o.Silent, o.MaxLinks = cmp.Or(o.PingEvery, pingEvery), cmp.Or(o.Silent, silentMost), cmp.Or(o.MaxLinks, MaxLinks)
 	n := &Net{o: o, links: map[string]*link{}, dials: map[string]bool{}}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	opts := []grpc.ServerOption{grpc.MaxRecvMsgSize(MaxFrame), grpc.MaxConcurrentStreams(16), grpc.ConnectionTimeout(2 * time.Second),
@@ -257,7 +263,7 @@
 		return fmt.Errorf("%q is no member of this fleet", h.Member)
 	case h.Settings != n.o.Settings:
 		return fmt.Errorf("%q has other fleet settings: voters, lease and drift must be alike in all operators' files", h.Member)
-	case len(n.links) >= MaxLinks:
+	case len(n.links) >= n.o.MaxLinks:
 		return errFull
 	}
 	if l := n.links[h.Member]; l != nil && l.incarnation != h.Incarnation {
@@ -291,7 +297,7 @@
 		errs <- n.write(ctx, l, st)
 		cancel()
 	}()
-	silent := time.AfterFunc(silentMost, cancel)
+	silent := time.AfterFunc(n.o.Silent, cancel)
 	defer silent.Stop()
 	go func() { errs <- n.read(ctx, name, st, silent) }()
 	select {
@@ -309,7 +315,7 @@
 		if err != nil {
 			return err
 		}
-		silent.Reset(silentMost)
+		silent.Reset(n.o.Silent)
 		if f.GetPing() == nil {
 			n.o.Receive(ctx, name, f)
 		}
@@ -320,7 +326,7 @@
 }
 
 func (n *Net) write(ctx context.Context, l *link, st stream) error {
-	ping := time.NewTicker(pingEvery)
+	ping := time.NewTicker(n.o.PingEvery)
 	defer ping.Stop()
 	for {
 		var f *pb.Frame
--- /dev/null
+++ b/internal/fleet/subscriber/subscriber.go
@@ -0,0 +1,181 @@
+// Package subscriber keeps a sender's subscription to its shards of the directory: a link to one control member at a
+// time, the one after it when that one does not serve, and what is learned, in order, to the owner.
+package subscriber
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"sliptide/internal/fleet/directory"
+	"sliptide/internal/fleet/link"
+	"sliptide/internal/fleet/pb"
+	"sliptide/internal/fleet/shard"
+)
+
+const (
+	tickEvery = 100 * time.Millisecond
+	inboxSize = 64
+	// LinkHash stands in the hello of every link to a control member's directory.
+	LinkHash = 1
+	// LinkPing and LinkSilent are how often such a link says that it is there, and how long it may say nothing.
+	LinkPing   = 500 * time.Millisecond
+	LinkSilent = 3 * time.Second
+)
+
+// Server is a control member.
+type Server struct{ Name, Addr, Region string }
+
+// Options are what a Subscriber works with.
+type Options struct {
+	Name         string
+	Region, Zone string
+	Weight       uint32
+	Servers      []Server
+	TLS          *tls.Config // nil: none
+	Log          zerolog.Logger
+	Now          func() int64 // monotonic, in nanoseconds
+	// Apply takes what is learned, in order, on the subscriber's goroutine.
+	Apply func(*directory.Applied)
+	// Released is told of shards that were given up, on the same goroutine; nil: nobody is.
+	Released func([]shard.ID)
+	// Hold are shards that are asked for whoever serves them.
+	Hold  []shard.ID
+	Break directory.SubscriptionBreak
+}
+
+// Subscriber is a subscription that is kept up. Run is for one goroutine, the rest for any.
+type Subscriber struct {
+	o        Options
+	sub      *directory.Subscription
+	net      *link.Net
+	order    []Server // to be tried, those of the own region first
+	next     int
+	frames   chan frame
+	released releases
+	version  atomic.Uint64
+	live     atomic.Bool
+}
+
+type frame struct {
+	from    string
+	content *pb.Frame
+}
+
+// New returns a Subscriber.
+func New(o Options) *Subscriber {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	s := &Subscriber{o: o, frames: make(chan frame, inboxSize), released: releases{kick: make(chan struct{}, 1)},
+		sub: directory.NewSubscription(directory.SubscriptionOptions{Region: o.Region, Zone: o.Zone, Weight: o.Weight, Rand: rng, Break: o.Break})}
+	s.sub.Hold(o.Hold)
+	s.order = slices.Clone(o.Servers)
+	rng.Shuffle(len(s.order), func(i, j int) { s.order[i], s.order[j] = s.order[j], s.order[i] })
+	slices.SortStableFunc(s.order, func(x, y Server) int { return foreign(x, o.Region) - foreign(y, o.Region) })
+	return s
+}
+
+// foreign is 0 for a server of the region, 1 for any other.
+func foreign(s Server, region string) int {
+	if s.Region == region {
+		return 0
+	}
+	return 1
+}
+
+// Version is the version of what is known; 0: nothing is.
+func (s *Subscriber) Version() uint64 { return s.version.Load() }
+
+// Live reports whether the subscription is up.
+func (s *Subscriber) Live() bool { return s.live.Load() }
+
+// Release gives up shards that were unassigned, once nothing is left of them here. It waits for nothing.
+func (s *Subscriber) Release(ids []shard.ID) { s.released.add(ids) }
+
+// releases are shards that are given up, on their way to the subscriber's goroutine; a shard stands there once at most
+// for each time that it was assigned.
+type releases struct {
+	mu   sync.Mutex
+	ids  []shard.ID
+	kick chan struct{}
+}
+
+func (r *releases) add(ids []shard.ID) {
+	r.mu.Lock()
+	r.ids = append(r.ids, ids...)
+	r.mu.Unlock()
+	select {
+	case r.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (r *releases) take() []shard.ID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ids := r.ids
+	r.ids = nil
+	return ids
+}
+
+// Run keeps the subscription until the context ends.
+func (s *Subscriber) Run(ctx context.Context) {
+	defer func() { s.net.Close() }()
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	s.connect(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-s.frames:
+			if a := s.sub.Receive(f.from, f.content, s.o.Now()); a != nil {
+				s.o.Apply(a)
+			}
+		case <-s.released.kick:
+			ids := s.released.take()
+			s.sub.Release(ids)
+			if s.o.Released != nil {
+				s.o.Released(ids)
+			}
+		case <-tick.C:
+			s.sub.Tick(s.o.Now())
+			if s.sub.Lost() {
+				s.o.Log.Warn().Str("control", s.order[s.next%len(s.order)].Name).Msg("directory: the control member does not serve, trying the next")
+				s.next++
+				s.connect(ctx)
+			}
+		}
+		s.version.Store(s.sub.Version())
+		s.live.Store(s.sub.Live(s.o.Now()))
+		for _, out := range s.sub.Take() {
+			s.net.Send(out.To, out.Frame)
+		}
+	}
+}
+
+// connect begins a link to the next server in place of the one before.
+func (s *Subscriber) connect(ctx context.Context) {
+	if s.net != nil {
+		s.net.Close()
+	}
+	server := s.order[s.next%len(s.order)]
+	s.net = link.New(link.Options{Self: s.o.Name, Settings: LinkHash, Dial: map[string]string{server.Name: server.Addr}, Client: s.o.TLS,
+		Known: func(string) bool { return false }, PingEvery: LinkPing, Silent: LinkSilent,
+		Note: func(what, member string, err error) {
+			s.o.Log.Debug().Str("member", member).Err(err).Msg("directory: " + what)
+		},
+		Receive: func(linkCtx context.Context, from string, f *pb.Frame) {
+			select {
+			case s.frames <- frame{from, f}:
+			case <-linkCtx.Done():
+			case <-ctx.Done():
+			}
+		}})
+	s.sub.Connect(server.Name, s.o.Now())
+}
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -477,6 +477,6 @@
 var reasons = map[int]string{
 	200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
 	405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 411: "Length Required",
-	413: "Content Too Large", 429: "Too Many Requests", 500: "Internal Server Error",
+	413: "Content Too Large", 421: "Misdirected Request", 429: "Too Many Requests", 500: "Internal Server Error",
 	503: "Service Unavailable",
 }
--- a/internal/intake/api.go
+++ b/internal/intake/api.go
@@ -58,6 +58,8 @@
 		return response{status: 409, text: "X-Trace-Id was taken on before"}
 	case v.Elsewhere:
 		return response{status: 409, text: "another sender has taken this message over from the one that was lost"}
+	case v.Misdirected:
+		return response{status: 421, belongs: v.Belongs, text: "other senders serve this destination"}
 	case v.NoRoute: // the list may be late: to come again does no harm
 		return response{status: 503, retry: v.RetryAfter, text: "no such destination is listed"}
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -420,6 +421,8 @@
 	text   string
 	close  bool
 	num    uint64 // of the message that was taken on
+	// belongs are the senders that serve the message's destination, where this one does not.
+	belongs []string
 }
 
 func (c *client) answer(r *response, keep bool) error {
@@ -427,6 +430,9 @@
 	if r.retry > 0 {
 		b = http1.AppendSeconds(b, "Retry-After", r.retry)
 	}
+	if len(r.belongs) > 0 {
+		b = http1.AppendHeader(b, "X-Belongs-To", strings.Join(r.belongs, ", "))
+	}
 	if r.allow != "" {
 		b = http1.AppendHeader(b, "Allow", r.allow)
 	}
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -24,8 +24,22 @@
 	Duties        Duties
 	Trials        Trials
 	Copies        Copies
+	Shards        Shards
 }
 
+// Shards sets whether this sender serves the destinations of its shards alone, of which control members tell it.
+type Shards struct {
+	Enabled  bool
+	Region   string
+	Zone     string
+	Weight   int
+	Replicas int
+	Control  []ControlMember
+}
+
+// ControlMember is one control member that a sender may subscribe at.
+type ControlMember struct{ Name, Addr, Region string }
+
 // Member is one sender of the fleet, by its RELAY_NAME.
 type Member struct {
 	Name, Addr, Zone string
@@ -151,7 +165,7 @@
 				Name: "election", Fallback: "500ms", Values: strictxml.Between(100*time.Millisecond, 20*time.Second), Doc: "A voter that hears nothing of a leader for so long asks to lead.",
 				Put: func(f *File, v int64) { f.Fleet.Duties.Election = time.Duration(v) },
 			}},
-		}, {
+		}, shardsSpec(name, addr), {
 			Name: "trials", Doc: "One member makes the first calls to a partner that is down; the others wait for its word. Needs storms.",
 			Attrs: []attribute{{
 				Name: "enabled", Fallback: "false", Values: strictxml.OneOf("false", "true"), Doc: "Switches the part on.",
@@ -199,8 +213,68 @@
 // MaxMembers is how many members a file may list.
 const MaxMembers = 1000
 
+// shardsSpec is the element.
+func shardsSpec(name, addr strictxml.Values) element {
+	last := func(f *File) *ControlMember { return &f.Fleet.Shards.Control[len(f.Fleet.Shards.Control)-1] }
+	return element{
+		Name: "shards", Doc: "This sender serves the destinations of its shards alone, and learns of them from control members in place of discovery.",
+		Attrs: []attribute{{
+			Name: "enabled", Fallback: "false", Values: strictxml.OneOf("false", "true"), Doc: "Switches the part on. The fleet itself may be off.",
+			Put: func(f *File, v int64) { f.Fleet.Shards.Enabled = v == 1 },
+		}, {
+			Name: "region", Values: name, Doc: "Where this sender stands; shards are assigned among the senders of a region.",
+			Text: func(f *File, v string) { f.Fleet.Shards.Region = v },
+		}, {
+			Name: "zone", Values: name, Doc: "The zone of that region; a shard's replicas are spread over zones.",
+			Text: func(f *File, v string) { f.Fleet.Shards.Zone = v },
+		}, {
+			Name: "weight", Fallback: "1", Values: strictxml.Whole(1, 100), Doc: "How much this sender serves, beside the others.",
+			Put: func(f *File, v int64) { f.Fleet.Shards.Weight = int(v) },
+		}, {
+			Name: "replicas", Fallback: "2", Values: strictxml.Whole(1, 5), Doc: "Senders of a region that serve a destination; alike in all files and the control members'.",
+			Put: func(f *File, v int64) { f.Fleet.Shards.Replicas = int(v) },
+		}},
+		Children: []element{{
+			Name: "control", Doc: "A control member.", Repeated: true, Unique: "name",
+			Add: func(f *File) { f.Fleet.Shards.Control = append(f.Fleet.Shards.Control, ControlMember{}) },
+			Attrs: []attribute{{
+				Name: "name", Required: true, Values: name, Doc: "Its name.", Text: func(f *File, v string) { last(f).Name = v },
+			}, {
+				Name: "addr", Required: true, Values: addr, Doc: "Where it takes links of subscribers.", Text: func(f *File, v string) { last(f).Addr = v },
+			}, {
+				Name: "region", Values: name, Doc: "Where it stands; those of the own region are tried first.", Text: func(f *File, v string) { last(f).Region = v },
+			}},
+		}},
+	}
+}
+
+// check finds what is wrong with the shards' settings.
+func (s *Shards) check(f *Fleet) string {
+	switch {
+	case !s.Enabled:
+		return ""
+	case f.Enabled:
+		return "fleet: enabled=\"true\" and shards enabled=\"true\"; allowed: one of them, duties and copies do not go with shards yet"
+	case s.Region == "" || s.Zone == "":
+		return "fleet: shards: region and zone are needed"
+	case len(s.Control) == 0:
+		return "fleet: shards: no <control>; allowed: one or more"
+	case (f.Cert == "") != (f.Key == "") || (f.Cert == "") != (f.CA == ""):
+		return "fleet: ca, cert and key go together"
+	}
+	for _, c := range s.Control {
+		if bad := checkAddr(c.Addr, f.Cert != ""); bad != "" {
+			return fmt.Sprintf("fleet: shards: control %q: addr=%q: %s", c.Name, c.Addr, bad)
+		}
+	}
+	return ""
+}
+
 // check finds what a schema cannot say.
 func (f *Fleet) check(storms bool) string {
+	if bad := f.Shards.check(f); bad != "" {
+		return bad
+	}
 	if !f.Enabled {
 		return ""
 	}
--- a/internal/sender/lists.go
+++ b/internal/sender/lists.go
@@ -46,6 +46,15 @@
 	return nil
 }
 
+// reportFull logs, once, that a destination is not served since no more are known.
+func (s *Sender) reportFull(dest int) {
+	if s.full {
+		return
+	}
+	s.full = true
+	s.log.Error().Int("dest", dest).Int("destinations_allowed", MaxDestinations).Msg("too many destinations: messages for this and further ones are refused")
+}
+
 func (s *Sender) takeList(l *discovery.List) {
 	if s.heir {
 		s.holdList(l)
@@ -71,6 +80,8 @@
 		if e.State != policy.Gone {
 			if len(s.dests) < MaxDestinations {
 				s.dests[e.Dest] = true
+			} else if !s.dests[e.Dest] {
+				s.reportFull(e.Dest)
 			}
 		}
 	}
--- a/internal/sender/orders.go
+++ b/internal/sender/orders.go
@@ -51,6 +51,10 @@
 		// fate of the first: were its answer unheard, a message that is owed an end would be withdrawn.
 		o.verdict <- Verdict{Known: true}
 		return
+	case s.misdirected(m.Dest):
+		s.observeRefused(m.Dest, telemetry.CauseRoute)
+		o.verdict <- s.misdirection(m.Dest)
+		return
 	case !s.dests[m.Dest]: // nothing could be done with it but hold it until its time is up
 		s.observeRefused(m.Dest, telemetry.CauseRoute)
 		o.verdict <- Verdict{NoRoute: true, RetryAfter: s.busyRetry()}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -15,6 +15,7 @@
 	"sliptide/internal/journal"
 	"sliptide/internal/operate"
 	"sliptide/internal/outbound"
+	"sliptide/internal/sharding"
 	"sliptide/internal/storm"
 	"sliptide/internal/telemetry"
 	"sliptide/policy"
@@ -55,25 +56,29 @@
 
 // Verdict is the answer to a message that was handed in.
 type Verdict struct {
-	Taken      bool
-	Num        uint64 // the sender's number, if taken
-	Known      bool   // not taken: another with this id was
-	Elsewhere  bool   // not taken: an heir has it from the sender that was lost
-	NoRoute    bool   // not taken: its destination has never been listed
-	Short      bool   // not taken: too few members can be reached to copy it
-	RetryAfter float64
+	Taken     bool
+	Num       uint64 // the sender's number, if taken
+	Known     bool   // not taken: another with this id was
+	Elsewhere bool   // not taken: an heir has it from the sender that was lost
+	NoRoute   bool   // not taken: its destination has never been listed
+	// Misdirected: not taken, its destination belongs to others, whose names Belongs tells, the first choice first.
+	Misdirected bool
+	Belongs     []string
+	Short       bool // not taken: too few members can be reached to copy it
+	RetryAfter  float64
 }
 
 // input is one thing that has happened.
 type input struct {
-	order  *order
-	call   *outbound.Call // ended, with these events
-	events []policy.Event
-	list   *discovery.List
-	told   []uint64 // messages whose notice was taken
-	gone   uint64   // message that its client never heard was taken on
-	out    *outOrder
-	retune *policy.Settings
+	order   *order
+	call    *outbound.Call // ended, with these events
+	events  []policy.Event
+	list    *discovery.List
+	sharded *sharding.Update
+	told    []uint64 // messages whose notice was taken
+	gone    uint64   // message that its client never heard was taken on
+	out     *outOrder
+	retune  *policy.Settings
 	// takeOver ends the waiting of an heir; handOver stops a sender whose heir waits.
 	takeOver    *takeOver
 	stop        bool
@@ -168,12 +173,14 @@
 	copies   *copier                // nil: the journal is not copied
 	refuses  atomic.Pointer[string] // why nothing is taken on, as Refuses tells; nil: it is
 	trials   *trials                // nil: not shared
+	shards   *shards                // nil: all destinations are served
 	observer observer
 
 	msgs    map[uint64]*message // taken on and not over, and not waiting for a notice
 	traces  map[string]uint64
 	past    past                          // ids of messages that were taken on and are over
 	dests   map[int]bool                  // that have been listed
+	full    bool                          // a destination past MaxDestinations has been reported
 	owed    map[uint64]*journal.Entry     // whose notice is not taken yet
 	addrs   map[uint32]discovery.Endpoint // as listed, without what was said by hand
 	names   map[string]uint32             // every endpoint that a list has named
@@ -356,6 +363,8 @@
 		s.takeOutcome(in.call, in.events)
 	case in.list != nil:
 		s.takeList(in.list)
+	case in.sharded != nil:
+		s.takeSharded(in.sharded)
 	case in.told != nil:
 		s.takeTold(in.told)
 	case in.gone != 0:
@@ -391,6 +400,7 @@
 		s.token = 0
 	}
 	s.copyStep()
+	s.leaveShards(false)
 	s.cutShort()
 	s.weather()
 	s.actions = s.mod.Step(s.now, s.events, s.actions[:0])
@@ -453,6 +463,9 @@
 	if s.trials != nil {
 		wait = min(wait, millis(min(s.trials.board.Next()-s.clock.Now(), 1e6)))
 	}
+	if s.shards != nil && len(s.shards.leaving) > 0 {
+		wait = min(wait, millis(leaveLook))
+	}
 	wait = s.observeWait(wait)
 	if at, due := s.tellAt(); due {
 		wait = min(wait, millis(at-s.clock.Now()))
