--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -32,6 +32,7 @@
 	reportEvery = time.Second            // to the member that leads, and
 	reportLeast = 200 * time.Millisecond // where something changed
 	rosterEvery = 200 * time.Millisecond
+	statusEvery = 500 * time.Millisecond
 	maxLinks    = 20000
 )
 
@@ -91,6 +92,7 @@
 	follows   *directory.Subscription
 	followed  string      // whom it follows
 	lead      *leadership // nil: another one leads
+	statusAt  int64
 	reportSeq uint64
 	reportAt  int64
 	reported  uint64 // sum of the members that were reported last
@@ -186,6 +188,24 @@
 	return list
 }
 
+// regions are those that have control members.
+func (c *Control) regions() (list []string) {
+	for _, m := range c.o.Settings.Members {
+		list = append(list, m.Region)
+	}
+	return list
+}
+
+// regionOf is the region of a control member.
+func (c *Control) regionOf(name string) string {
+	for _, m := range c.o.Settings.Members {
+		if m.Name == name {
+			return m.Region
+		}
+	}
+	return ""
+}
+
 // heardOfLeader takes each change of a duty.
 func (c *Control) heardOfLeader(d *pb.Duty, _ bool) {
 	if d.Name == leaderDuty {
@@ -254,7 +274,7 @@
 		c.publisher.Receive(in.from, in.frame, now)
 	case *pb.Frame_Report:
 		if c.lead != nil {
-			again := c.lead.roster.Report(in.from, w.Report, now)
+			again := c.lead.roster.Report(in.from, c.regionOf(in.from), w.Report, now)
 			c.net.Send(in.from, &pb.Frame{What: &pb.Frame_Reported{Reported: &pb.Reported{Seq: w.Report.Seq, Again: again}}})
 		}
 	case *pb.Frame_Reported:
@@ -292,6 +312,10 @@
 	}
 	c.report(now)
 	c.publisher.Tick(now)
+	if now-c.statusAt < int64(statusEvery) {
+		return
+	}
+	c.statusAt = now
 	c.status.Store(&Status{Name: c.self.Name, Leader: c.leaderName(), Version: c.dir.Version(), Source: c.dir.Source(), Endpoints: c.dir.Len(),
 		Members: len(c.dir.Members()), Subscribers: len(c.publisher.Subscribers())})
 }
@@ -317,7 +341,7 @@
 
 func (c *Control) startLeading(ctx context.Context, token uint64, now int64) {
 	watching, stop := context.WithCancel(ctx)
-	c.lead = &leadership{token: token, roster: directory.NewRoster(now), stop: stop}
+	c.lead = &leadership{token: token, roster: directory.NewRoster(c.regions(), now), stop: stop}
 	c.followed, c.again = "", true
 	c.o.Log.Info().Uint64("token", token).Uint64("version", c.dir.Version()).Msg("directory: leads")
 	c.publish(c.dir.Source(), nil, nil, nil)
@@ -418,7 +442,7 @@
 	r := directory.ReportOf(c.reportSeq, members, changed)
 	c.reportAt, c.reported, c.again = now, sum, false
 	if c.lead != nil {
-		c.again = c.lead.roster.Report(c.self.Name, r, now)
+		c.again = c.lead.roster.Report(c.self.Name, c.self.Region, r, now)
 		return
 	}
 	c.net.Send(leader, &pb.Frame{What: &pb.Frame_Report{Report: r}})
--- a/internal/fleet/directory/directory_test.go
+++ b/internal/fleet/directory/directory_test.go
@@ -251,21 +251,21 @@
 		}
 		return r
 	}
-	r := NewRoster(0)
+	r := NewRoster([]string{"r", "s"}, 0)
 	if joined, left := r.Tick(known, int64(MemberGrace)); len(joined)+len(left) != 0 {
 		t.Errorf("a leader without reports: %v joined, %v left", joined, left)
 	}
 	at := int64(MemberGrace)
-	r.Report("c1", report(1, "a", "b"), at)
+	r.Report("c1", "r", report(1, "a", "b"), at)
 	r.Tick(known, at)
-	r.Report("c1", report(2, "a"), at+1)
+	r.Report("c1", "r", report(2, "a"), at+1)
 	if _, left := r.Tick(known, at+2); len(left) != 0 {
 		t.Errorf("left at once: %v", left)
 	}
 	late := at + int64(MemberGrace+ControlSilence) + 10
 	var leftAt int64
 	for now := at + int64(time.Second); now <= late; now += int64(time.Second) {
-		r.Report("c1", report(uint64(now), "a"), now)
+		r.Report("c1", "r", report(uint64(now), "a"), now)
 		if _, left := r.Tick(known, now); len(left) == 1 && left[0].Name == "b" && leftAt == 0 {
 			leftAt = now
 		} else if len(left) > 0 && leftAt == 0 {
@@ -275,13 +275,13 @@
 	if leftAt < at+int64(MemberGrace) || leftAt > late {
 		t.Errorf("b left %v after it was reported last", time.Duration(leftAt-at))
 	}
-	r.Report("c2", report(1, "b"), late)
+	r.Report("c2", "r", report(1, "b"), late)
 	if joined, _ := r.Tick(map[string]Member{"a": known["a"]}, late); len(joined) != 1 || joined[0].Name != "b" {
 		t.Errorf("joined %v, want b", joined)
 	}
 	short := report(9, "a")
 	short.Whole, short.Joined, short.Count = false, nil, 5
-	if !r.Report("c2", short, late) {
+	if !r.Report("c2", "r", short, late) {
 		t.Error("a report that does not add up is taken")
 	}
 }
@@ -308,3 +308,65 @@
 		t.Errorf("%d endpoints take %d bytes, stated are %d", d.Len(), took, stated)
 	}
 }
+
+// A region none of whose control members reports is cut off: its members keep their shards, however long that lasts, and
+// have the whole grace once one of its control members is heard again. They were dropped all together, and came back in
+// parts, each of which was given everything for a moment.
+func TestRosterKeepsARegionThatIsCutOff(t *testing.T) {
+	far := member("far")
+	far.Region = "s"
+	known := map[string]Member{"a": member("a"), "far": far}
+	r := NewRoster([]string{"r", "s"}, 0)
+	near := &pb.Report{Whole: true, Joined: []*pb.MemberRecord{known["a"].record()}, Count: 1, Sum: Sum([]string{"a"})}
+	now := int64(0)
+	pass := func(d time.Duration, regions ...string) (gone int) {
+		for end := now + int64(d); now < end; now += int64(time.Second) {
+			for _, region := range regions {
+				report := &pb.Report{Seq: uint64(now) + 1, Whole: true}
+				if region == "r" {
+					report = near
+					report.Seq = uint64(now) + 1
+				}
+				r.Report("control-"+region, region, report, now)
+			}
+			_, left := r.Tick(known, now)
+			gone += len(left)
+		}
+		return gone
+	}
+	if gone := pass(10*time.Minute, "r"); gone != 0 {
+		t.Errorf("%d members of a region that is cut off have left", gone)
+	}
+	if gone := pass(MemberGrace-time.Second, "r", "s"); gone != 0 {
+		t.Errorf("%d members left before the grace was over, counted from the region's return", gone)
+	}
+	if gone := pass(3*time.Second, "r", "s"); gone != 1 {
+		t.Errorf("%d members have left after the grace, want 1", gone)
+	}
+}
+
+func (m Member) record() *pb.MemberRecord { return m.message(false) }
+
+// The first members of a region join together, those of one that has members at once.
+func TestFirstMembersOfARegionJoinTogether(t *testing.T) {
+	r := NewRoster([]string{"r"}, 0)
+	report := func(seq uint64, names ...string) {
+		var list []Member
+		for _, name := range names {
+			list = append(list, member(name))
+		}
+		r.Report("c", "r", ReportOf(seq, list, true), int64(seq))
+	}
+	report(1, "a")
+	if joined, _ := r.Tick(nil, 1); len(joined) != 0 {
+		t.Errorf("%v joined alone", joined)
+	}
+	report(2, "a", "b")
+	if joined, _ := r.Tick(nil, int64(JoinSettle)+2); len(joined) != 2 {
+		t.Errorf("%v joined together, want a and b", joined)
+	}
+	report(3, "a", "b", "c")
+	if joined, _ := r.Tick(map[string]Member{"a": member("a"), "b": member("b")}, int64(JoinSettle)+3); len(joined) != 1 {
+		t.Errorf("%v joined a region that has members, want c", joined)
+	}
+}
--- a/internal/fleet/directory/model_test.go
+++ b/internal/fleet/directory/model_test.go
@@ -140,7 +140,7 @@
 	w.leader = n
 	w.token++
 	c := w.controls[n]
-	c.roster = NewRoster(w.now)
+	c.roster = NewRoster([]string{"r"}, w.now)
 	for _, other := range w.controls {
 		if other != c && other.up {
 			other.follows.Resume(other.dir.Version())
@@ -235,7 +235,7 @@
 	switch x := f.frame.What.(type) {
 	case *pb.Frame_Report:
 		if c.roster != nil {
-			w.send(c.name, f.from, &pb.Frame{What: &pb.Frame_Reported{Reported: &pb.Reported{Seq: x.Report.Seq, Again: c.roster.Report(f.from, x.Report, w.now)}}})
+			w.send(c.name, f.from, &pb.Frame{What: &pb.Frame_Reported{Reported: &pb.Reported{Seq: x.Report.Seq, Again: c.roster.Report(f.from, "r", x.Report, w.now)}}})
 		}
 	case *pb.Frame_Reported:
 		c.again = c.again || x.Reported.Again
--- a/internal/fleet/directory/roster.go
+++ b/internal/fleet/directory/roster.go
@@ -17,6 +17,9 @@
 	// MemberGrace is how long a member that no control member reports keeps its shards: a restart in place, or a change
 	// to another control member, moves none.
 	MemberGrace = 6 * time.Second
+	// JoinSettle is how long the first members of a region wait for others that start with them: a single one would be
+	// given all of its region's shards for a moment.
+	JoinSettle = 3 * time.Second
 )
 
 // Sum is the sum of the names' hashes, by which two sets of members are compared.
@@ -49,6 +52,7 @@
 
 // reporter is one control member as the leader has heard it.
 type reporter struct {
+	region  string
 	seq     uint64
 	heardAt int64
 	members map[string]Member
@@ -57,26 +61,32 @@
 
 // Roster is the leader's book of who has subscribed where. It says which members join and leave the directory.
 type Roster struct {
+	regions   map[string]bool // that have control members
 	reporters map[string]*reporter
 	lostAt    map[string]int64 // since when a member of the directory is reported by nobody
+	firstAt   map[string]int64 // since when members of a region without any are reported
 	since     int64
 	grace     time.Duration
 	wait      time.Duration // of a leader that begins
 }
 
-// NewRoster returns the book of a member that begins to lead.
-func NewRoster(now int64) *Roster {
-	return &Roster{reporters: map[string]*reporter{}, lostAt: map[string]int64{}, since: now, grace: MemberGrace, wait: MemberGrace + ControlSilence}
+// NewRoster returns the book of a member that begins to lead. regions are those that have control members.
+func NewRoster(regions []string, now int64) *Roster {
+	known := map[string]bool{}
+	for _, region := range regions {
+		known[region] = true
+	}
+	return &Roster{regions: known, reporters: map[string]*reporter{}, lostAt: map[string]int64{}, firstAt: map[string]int64{}, since: now, grace: MemberGrace, wait: MemberGrace + ControlSilence}
 }
 
 // NoGrace takes the guard out by which members keep their shards for a while, for runs that show what finds that.
 func (r *Roster) NoGrace() { r.grace, r.wait = 0, 0 }
 
-// Report takes a report, and returns whether all members are to be reported again.
-func (r *Roster) Report(from string, report *pb.Report, now int64) (again bool) {
+// Report takes a report of a control member of that region, and returns whether all members are to be reported again.
+func (r *Roster) Report(from, region string, report *pb.Report, now int64) (again bool) {
 	c := r.reporters[from]
 	if c == nil {
-		c = &reporter{}
+		c = &reporter{region: region}
 		r.reporters[from] = c
 	}
 	if report.Seq <= c.seq && c.members != nil {
@@ -97,14 +107,16 @@
 	return false
 }
 
-// Tick returns the members that are to join the directory, and those that are to leave it.
+// Tick returns the members that are to join the directory, and those that are to leave it. Members of a region none of
+// whose control members reports stay: the region is cut off and goes on with what it knows.
 func (r *Roster) Tick(known map[string]Member, now int64) (joined, left []Member) {
-	reported := map[string]bool{}
+	reported, heard := map[string]bool{}, map[string]bool{}
 	for name, c := range r.reporters {
 		if now-c.heardAt > int64(ControlSilence) {
 			delete(r.reporters, name)
 			continue
 		}
+		heard[c.region] = true
 		for name, m := range c.members {
 			if reported[name] {
 				continue // of two reports, as a member changes over, either will do
@@ -116,7 +128,7 @@
 		}
 	}
 	for name, m := range known {
-		if reported[name] {
+		if reported[name] || r.regions[m.Region] && !heard[m.Region] {
 			delete(r.lostAt, name)
 			continue
 		}
@@ -136,6 +148,7 @@
 			delete(r.lostAt, name)
 		}
 	}
+	joined = r.settled(joined, known, now)
 	byName := func(x, y Member) int {
 		if x.Name < y.Name {
 			return -1
@@ -146,3 +159,23 @@
 	slices.SortFunc(left, byName)
 	return joined, left
 }
+
+// settled leaves members out that are among the first of their region and have not waited for others yet.
+func (r *Roster) settled(joined []Member, known map[string]Member, now int64) []Member {
+	begun := map[string]bool{}
+	for _, m := range known {
+		begun[m.Region] = true
+	}
+	return slices.DeleteFunc(joined, func(m Member) bool {
+		if begun[m.Region] {
+			delete(r.firstAt, m.Region)
+			return false
+		}
+		at, counted := r.firstAt[m.Region]
+		if !counted {
+			at = now
+			r.firstAt[m.Region] = now
+		}
+		return now-at < int64(JoinSettle)
+	})
+}
--- a/internal/fleet/directory/subscription.go
+++ b/internal/fleet/directory/subscription.go
@@ -13,6 +13,7 @@
 // How a subscriber keeps its subscription.
 const (
 	silentAfter = 4 * time.Second // without an update for so long, it subscribes anew, elsewhere
+	firstWithin = 3 * time.Second // a server from which nothing comes for so long does not serve
 	againLeast  = 100 * time.Millisecond
 	againMost   = 2 * time.Second // between two tries
 )
@@ -34,6 +35,7 @@
 	BreakGap     SubscriptionBreak = 1 << iota // an update is taken though others are missing before it
 	BreakPart                                  // parts of an update are taken before the last one is there
 	BreakVersion                               // a snapshot is taken though it is older than what is known
+	BreakSilence                               // that nothing comes any more is not noticed
 )
 
 // Applied is what a subscriber learned by one update, all parts together.
@@ -62,6 +64,7 @@
 	staged  []*pb.Update
 	out     []Out
 	asked   int64 // when it subscribed last
+	begun   int64 // when it turned to this server
 	heard   int64
 	live    bool // an update has come
 	tries   int
@@ -106,7 +109,7 @@
 
 // Connect subscribes at a server, in place of any other.
 func (s *Subscription) Connect(server string, now int64) {
-	s.now, s.server, s.lost = now, server, false
+	s.now, s.begun, s.server, s.lost = now, now, server, false
 	s.subscribe()
 }
 
@@ -145,7 +148,7 @@
 		return
 	}
 	if s.live {
-		if now-s.heard > int64(silentAfter) {
+		if now-s.heard > int64(silentAfter) && s.o.Break&BreakSilence == 0 {
 			s.live, s.lost = false, true
 		}
 		return
@@ -153,7 +156,8 @@
 	if s.lost || now-s.asked < s.pause() {
 		return
 	}
-	if s.tries++; s.tries%3 == 0 { // nothing comes
+	s.tries++
+	if now-s.begun > int64(firstWithin) {
 		s.lost = true
 		return
 	}
--- a/internal/fleet/subscriber/subscriber.go
+++ b/internal/fleet/subscriber/subscriber.go
@@ -19,6 +19,12 @@
 	"sliptide/internal/fleet/shard"
 )
 
+// How soon a subscriber at another region's control member tries its own region's again: doubled while these don't serve.
+const (
+	homeLeast = 10 * time.Second
+	homeMost  = 5 * time.Minute
+)
+
 const (
 	tickEvery = 100 * time.Millisecond
 	inboxSize = 64
@@ -57,6 +63,8 @@
 	net      *link.Net
 	order    []Server // to be tried, those of the own region first
 	next     int
+	homeAt   int64 // when one of the own region is tried next, while another one serves
+	homeIn   time.Duration
 	frames   chan frame
 	released releases
 	version  atomic.Uint64
@@ -73,6 +81,7 @@
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	s := &Subscriber{o: o, frames: make(chan frame, inboxSize), released: releases{kick: make(chan struct{}, 1)},
 		sub: directory.NewSubscription(directory.SubscriptionOptions{Region: o.Region, Zone: o.Zone, Weight: o.Weight, Rand: rng, Break: o.Break})}
+	s.homeIn = homeLeast
 	s.sub.Hold(o.Hold)
 	s.order = slices.Clone(o.Servers)
 	rng.Shuffle(len(s.order), func(i, j int) { s.order[i], s.order[j] = s.order[j], s.order[i] })
@@ -145,6 +154,7 @@
 			}
 		case <-tick.C:
 			s.sub.Tick(s.o.Now())
+			s.goHome(ctx)
 			if s.sub.Lost() {
 				s.o.Log.Warn().Str("control", s.order[s.next%len(s.order)].Name).Msg("directory: the control member does not serve, trying the next")
 				s.next++
@@ -159,6 +169,30 @@
 	}
 }
 
+// goHome turns to a control member of the own region where one of another region serves: in a region that is cut off
+// from this one, it would go on unheard of changes that can be had at home.
+func (s *Subscriber) goHome(ctx context.Context) {
+	now := s.o.Now()
+	home := slices.IndexFunc(s.order, func(x Server) bool { return x.Region == s.o.Region })
+	at := s.next % len(s.order)
+	if home < 0 || s.order[at].Region == s.o.Region {
+		if s.sub.Live(now) {
+			s.homeIn, s.homeAt = homeLeast, 0
+		}
+		return
+	}
+	if s.homeAt == 0 {
+		s.homeAt = now + int64(s.homeIn/2+rand.N(s.homeIn))
+		return
+	}
+	if now < s.homeAt {
+		return
+	}
+	s.homeIn, s.homeAt = min(2*s.homeIn, homeMost), 0
+	s.next = home
+	s.connect(ctx)
+}
+
 // connect begins a link to the next server in place of the one before.
 func (s *Subscriber) connect(ctx context.Context) {
 	if s.net != nil {
--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -38,6 +38,8 @@
 	Collector collectorCmd `cmd:"" help:"Serve as an OTLP collector and show the traces that arrive."`
 	Count     countCmd     `cmd:"" help:"Add up the logs of a fleet over time: calls, refusals, lists, what is held."`
 	Capacity  capacityCmd  `cmd:"" help:"Measure what each part grows by, and write the page of capacity."`
+	Scale     scaleCmd     `cmd:"" help:"Run a sharded fleet of hollow members on this machine, with faults and a judge."`
+	Members   membersCmd   `cmd:"" name:"scale-members" hidden:"" help:"Hollow members of a scale run."`
 	Schema    schemaCmd    `cmd:"" help:"Print the XML Schema of experiment files."`
 }
 
--- /dev/null
+++ b/internal/lab/scale/agent.go
@@ -0,0 +1,111 @@
+package scale
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// agent is the discovery of a run: one endpoint for each destination. The weight of an endpoint's line is the number of
+// the change that made it as it is, so that members can tell what they have seen.
+type agent struct {
+	listener net.Listener
+	server   *http.Server
+
+	mu      sync.Mutex
+	count   int
+	version int
+	at      []int // by destination: the number of its last change
+	changes []int // by number, from 1: the destination that it changed
+	changed chan struct{}
+}
+
+// newAgent serves a list of so many destinations.
+func newAgent(destinations int) (*agent, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	a := &agent{listener: listener, count: destinations, at: make([]int, destinations), changes: []int{0}, changed: make(chan struct{})}
+	a.server = &http.Server{Handler: http.HandlerFunc(a.serve)}
+	go a.server.Serve(listener)
+	return a, nil
+}
+
+func (a *agent) addr() string { return a.listener.Addr().String() }
+
+func (a *agent) close() { a.server.Close() }
+
+// change changes a destination's endpoint and returns the number of the change.
+func (a *agent) change(destination int) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	number := len(a.changes)
+	a.changes = append(a.changes, destination)
+	a.at[destination] = number
+	close(a.changed)
+	a.changed = make(chan struct{})
+	return number
+}
+
+func (a *agent) line(b *strings.Builder, destination int) {
+	fmt.Fprintf(b, `{"id":"endpoint-%07d","addr":"127.0.0.1:9","zone":"zone","kind":"partner","cell":%d,"state":"up","weight":%d}`, destination, destination, a.at[destination])
+}
+
+// serve answers an ask for the list, or a watch. Versions are the numbers of changes, from 1 on.
+func (a *agent) serve(w http.ResponseWriter, q *http.Request) {
+	if q.URL.Path != "/discovery/hosts" {
+		w.WriteHeader(http.StatusNoContent) // notices
+		return
+	}
+	index, _ := strconv.Atoi(q.URL.Query().Get("index"))
+	wait, _ := strconv.Atoi(q.URL.Query().Get("wait"))
+	end := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		a.mu.Lock()
+		version, changed := len(a.changes), a.changed
+		if index == 0 || index < version {
+			text := a.text(index)
+			a.mu.Unlock()
+			w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+			w.Write([]byte(text))
+			return
+		}
+		a.mu.Unlock()
+		select {
+		case <-changed:
+		case <-q.Context().Done():
+			return
+		case <-end:
+			fmt.Fprintf(w, `{"version":%d,"full":false,"servers":[]}`, version)
+			return
+		}
+	}
+}
+
+// text is the list since an index, whole from 0.
+func (a *agent) text(index int) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, `{"version":%d,"full":%t,"servers":[`, len(a.changes), index == 0)
+	if index == 0 {
+		for d := range a.count {
+			if d > 0 {
+				b.WriteByte(',')
+			}
+			a.line(&b, d)
+		}
+	} else {
+		for i, d := range a.changes[index:] {
+			if i > 0 {
+				b.WriteByte(',')
+			}
+			a.line(&b, d)
+		}
+	}
+	b.WriteString("]}")
+	return b.String()
+}
--- /dev/null
+++ b/internal/lab/scale/judge_test.go
@@ -0,0 +1,98 @@
+package scale
+
+import (
+	"testing"
+	"time"
+
+	"sliptide/internal/fleet/shard"
+)
+
+// run is a run of two members of one region that serve the shard of destination 7, one of which the test makes err.
+func run(change func(j *Judge, seen []Observation) []Observation) *Verdict {
+	at := func(d time.Duration) int64 { return int64(time.Hour + d) }
+	id := []uint32{uint32(shard.Of(7))}
+	j := &Judge{Rules: Rules{Unserved: 15 * time.Second, InForce: 20 * time.Second, Replicas: 2},
+		Members: []HollowMember{{0, "a", "r", "z1"}, {1, "b", "r", "z2"}}, Changes: []Change{{at(10 * time.Second), 7, 1}}}
+	seen := []Observation{
+		{At: at(0), Kind: Up, Member: 0}, {At: at(0), Kind: Up, Member: 1},
+		{At: at(time.Second), Kind: Applied, Member: 0, Version: 100, Assigned: id},
+		{At: at(time.Second), Kind: Applied, Member: 1, Version: 100, Assigned: id},
+		{At: at(11 * time.Second), Kind: Applied, Member: 0, Version: 101, Changes: []SeenChange{{7, 1}}},
+		{At: at(12 * time.Second), Kind: Applied, Member: 1, Version: 101, Changes: []SeenChange{{7, 1}}},
+		{At: at(60 * time.Second), Kind: At, Member: 0, Version: 101}, {At: at(60 * time.Second), Kind: At, Member: 1, Version: 101},
+	}
+	if change != nil {
+		seen = change(j, seen)
+	}
+	return j.Run(seen, at(70*time.Second))
+}
+
+func TestJudgeOfACleanRun(t *testing.T) {
+	v := run(nil)
+	if !v.Clean() || v.Changes != 1 || v.InForce != 2 || v.Worst != 2 || v.Median != 2 {
+		t.Errorf("%+v", v)
+	}
+}
+
+// Each rule that is broken is found, and nothing else.
+func TestJudgeFinds(t *testing.T) {
+	at := func(d time.Duration) int64 { return int64(time.Hour + d) }
+	for name, c := range map[string]struct {
+		rule   string
+		change func(j *Judge, seen []Observation) []Observation
+	}{
+		"a version that goes back": {RuleBackward, func(_ *Judge, seen []Observation) []Observation {
+			return append(seen, Observation{At: at(61 * time.Second), Kind: Applied, Member: 0, Version: 100}, Observation{At: at(62 * time.Second), Kind: Applied, Member: 0, Version: 101})
+		}},
+		"a member that stays behind": {RuleStale, func(_ *Judge, seen []Observation) []Observation {
+			seen[7].Version = 100
+			seen[5].Version = 100
+			return seen
+		}},
+		"a change that comes late": {RuleMissed, func(_ *Judge, seen []Observation) []Observation {
+			seen[5].At = at(31 * time.Second)
+			return seen
+		}},
+		"a change that never comes": {RuleMissed, func(_ *Judge, seen []Observation) []Observation {
+			seen[5].Changes = nil
+			return seen
+		}},
+		"nobody serves a shard": {RuleUnserved, func(_ *Judge, seen []Observation) []Observation {
+			return append(seen[:6:6], Observation{At: at(30 * time.Second), Kind: Down, Member: 0}, Observation{At: at(31 * time.Second), Kind: Down, Member: 1})
+		}},
+	} {
+		v := run(c.change)
+		if v.Findings[c.rule] == 0 || len(v.Findings) != 1 {
+			t.Errorf("%s: findings %v, want %s alone: %v", name, v.Findings, c.rule, v.Examples)
+		}
+	}
+}
+
+// What a member could not hear of is counted from when it could: its region was cut off. And members that were down, or
+// whose shard a real sender serves, owe nothing.
+func TestJudgeExcuses(t *testing.T) {
+	at := func(d time.Duration) int64 { return int64(time.Hour + d) }
+	for name, change := range map[string]func(j *Judge, seen []Observation) []Observation{
+		"a region that was cut off": func(j *Judge, seen []Observation) []Observation {
+			j.Cuts = []Cut{{"r", at(9 * time.Second), at(40 * time.Second)}}
+			seen[4].At, seen[5].At = at(45*time.Second), at(50*time.Second)
+			return seen
+		},
+		"a member that went down before": func(_ *Judge, seen []Observation) []Observation {
+			seen[5] = Observation{At: at(12 * time.Second), Kind: Down, Member: 1}
+			return seen[:7]
+		},
+		"a shard that went to others": func(_ *Judge, seen []Observation) []Observation {
+			seen[5] = Observation{At: at(12 * time.Second), Kind: Applied, Member: 1, Version: 101, Unassigned: []uint32{uint32(shard.Of(7))}}
+			return seen
+		},
+		"a real sender serves it": func(j *Judge, seen []Observation) []Observation {
+			j.Real = []HollowMember{{0, "c", "r", "z3"}}
+			return append(seen[:6:6], Observation{At: at(30 * time.Second), Kind: Down, Member: 0}, Observation{At: at(31 * time.Second), Kind: Down, Member: 1})
+		},
+	} {
+		if v := run(change); !v.Clean() {
+			t.Errorf("%s: %v", name, v.Examples)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/process.go
@@ -0,0 +1,165 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+
+	"bufio"
+)
+
+// child is a process of a run. It dies with this one.
+type child struct {
+	name   string
+	cmd    *exec.Cmd
+	exited chan struct{}
+}
+
+// spawn starts a program; its standard error goes to a file of the run's folder.
+func spawn(ctx context.Context, dir, name string, env []string, in io.Reader, out io.Writer, program string, args ...string) (*child, error) {
+	log, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	c := &child{name: name, cmd: exec.CommandContext(ctx, program, args...), exited: make(chan struct{})}
+	c.cmd.Env = append(os.Environ(), env...)
+	c.cmd.Stdin, c.cmd.Stdout, c.cmd.Stderr = in, out, log
+	c.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := c.cmd.Start(); err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	go func() { c.cmd.Wait(); close(c.exited) }()
+	return c, nil
+}
+
+// kill ends the process and waits for its end.
+func (c *child) kill() {
+	if c != nil {
+		c.cmd.Process.Signal(syscall.SIGKILL)
+		<-c.exited
+	}
+}
+
+// resident is a process's resident memory in bytes, 0 if it is gone.
+func resident(pid int) int64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(text))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseInt(fields[1], 10, 64)
+	return pages * int64(os.Getpagesize())
+}
+
+// processorTime is what a process has taken so far, in seconds.
+func processorTime(pid int) (float64, error) {
+	tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	if err != nil || len(tasks) == 0 {
+		return 0, errors.New("the process is gone")
+	}
+	total := 0.0
+	for _, task := range tasks {
+		text, err := os.ReadFile(task)
+		if err != nil {
+			continue // a thread that has ended
+		}
+		nanoseconds, err := strconv.ParseFloat(strings.Fields(string(text))[0], 64)
+		if err != nil {
+			return 0, err
+		}
+		total += nanoseconds / 1e9
+	}
+	return total, nil
+}
+
+// hollowProcess is a process of hollow members.
+type hollowProcess struct {
+	name     string
+	zone     string
+	settings HollowSettings
+	child    *child
+	orders   io.WriteCloser
+	encoder  *json.Encoder
+}
+
+// record collects what members see, in the order in which it arrives.
+type record struct {
+	mu       sync.Mutex
+	seen     []Observation
+	assigned map[int]bool // members that serve something
+}
+
+func newRecord() *record { return &record{assigned: map[int]bool{}} }
+
+func (r *record) take(o Observation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seen = append(r.seen, o)
+	switch {
+	case len(o.Assigned) > 0:
+		r.assigned[o.Member] = true
+	case o.Kind == Up || o.Kind == Down:
+		delete(r.assigned, o.Member)
+	}
+}
+
+// serving is how many members serve something.
+func (r *record) serving() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.assigned)
+}
+
+// start starts the process of hollow members.
+func (h *hollowProcess) start(ctx context.Context, lab, dir string, r *record) error {
+	ordersOut, ordersIn, err := os.Pipe()
+	if err != nil {
+		return err
+	}
+	seenOut, seenIn, err := os.Pipe()
+	if err != nil {
+		return err
+	}
+	h.child, err = spawn(ctx, dir, h.name, []string{"GOMAXPROCS=2"}, ordersOut, seenIn, lab, "scale-members")
+	ordersOut.Close()
+	seenIn.Close()
+	if err != nil {
+		return err
+	}
+	h.orders, h.encoder = ordersIn, json.NewEncoder(ordersIn)
+	go func() {
+		defer seenOut.Close()
+		decoder := json.NewDecoder(bufio.NewReaderSize(seenOut, 64<<10))
+		for {
+			var o Observation
+			if decoder.Decode(&o) != nil {
+				return
+			}
+			r.take(o)
+		}
+	}()
+	return h.encoder.Encode(h.settings)
+}
+
+// kill ends the process, and notes that its members are down.
+func (h *hollowProcess) kill(now func() int64, r *record) {
+	h.child.kill()
+	h.orders.Close()
+	at := now()
+	for _, m := range h.settings.Members {
+		r.take(Observation{At: at, Kind: Down, Member: m.Number})
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/relay.go
@@ -0,0 +1,111 @@
+package scale
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// relay carries connections to an address, counts their bytes, and can be cut: connections are closed then, and further
+// ones too.
+type relay struct {
+	listener net.Listener
+	target   string
+	bytes    atomic.Int64
+	mu       sync.Mutex
+	cut      bool
+	open     map[net.Conn]bool
+}
+
+func newRelay(target string) (*relay, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &relay{listener: listener, target: target, open: map[net.Conn]bool{}}
+	go r.accept()
+	return r, nil
+}
+
+func (r *relay) addr() string { return r.listener.Addr().String() }
+
+func (r *relay) close() {
+	r.listener.Close()
+	r.setCut(true)
+}
+
+// setCut cuts the relay, or lets connections through again.
+func (r *relay) setCut(cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cut = cut; cut {
+		for c := range r.open {
+			c.Close()
+		}
+	}
+}
+
+// enter notes a connection, or closes it where the relay is cut.
+func (r *relay) enter(c net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cut {
+		c.Close()
+		return false
+	}
+	r.open[c] = true
+	return true
+}
+
+func (r *relay) leave(c net.Conn) {
+	c.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.open, c)
+}
+
+func (r *relay) accept() {
+	for {
+		near, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		if r.enter(near) {
+			go r.carry(near)
+		}
+	}
+}
+
+func (r *relay) carry(near net.Conn) {
+	defer r.leave(near)
+	far, err := net.Dial("tcp", r.target)
+	if err != nil || !r.enter(far) {
+		return
+	}
+	defer r.leave(far)
+	done := make(chan struct{}, 2)
+	pass := func(to, from net.Conn) {
+		io.Copy(counted{to, &r.bytes}, from)
+		to.Close()
+		done <- struct{}{}
+	}
+	go pass(near, far)
+	go pass(far, near)
+	<-done
+	near.Close()
+	far.Close()
+	<-done
+}
+
+// counted counts what is written.
+type counted struct {
+	io.Writer
+	n *atomic.Int64
+}
+
+func (c counted) Write(p []byte) (int, error) {
+	n, err := c.Writer.Write(p)
+	c.n.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/lab/scale/report.go
@@ -0,0 +1,239 @@
+package scale
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"html/template"
+	"io"
+	"math"
+	"os"
+	"slices"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"sliptide/internal/lab/capacity"
+)
+
+// Budgets are what a real sender is held against.
+type Budgets struct {
+	Senders     float64 // at the target
+	CorePercent float64
+	MemoryMB    float64
+	LinkKBps    float64
+}
+
+// BudgetsOf are those of a target.
+func BudgetsOf(t *capacity.Target) Budgets {
+	return Budgets{t.Senders, t.CorePercent, t.MemoryMB, t.LinkKBPerSecond}
+}
+
+// quantity is one figure of a size that is drawn and foretold.
+type quantity struct {
+	name, unit string
+	budget     func(Budgets) float64
+	value      func(*SizeResult) float64
+}
+
+var quantities = []quantity{
+	{"processor of the worst real sender", "% of a core", func(b Budgets) float64 { return b.CorePercent }, func(s *SizeResult) float64 { return Worst(s.Senders).CorePercent }},
+	{"memory of the worst real sender", "MB", func(b Budgets) float64 { return b.MemoryMB }, func(s *SizeResult) float64 { return Worst(s.Senders).MemoryMB }},
+	{"links of the worst real sender", "KB/s", func(b Budgets) float64 { return b.LinkKBps }, func(s *SizeResult) float64 { return Worst(s.Senders).LinkKBps }},
+	{"a change in force, median", "s", func(Budgets) float64 { return InForceWithin.Seconds() }, func(s *SizeResult) float64 { return s.Verdict.Median }},
+	{"a change in force, 99th percentile", "s", func(Budgets) float64 { return InForceWithin.Seconds() }, func(s *SizeResult) float64 { return s.Verdict.P99 }},
+	{"a change in force, worst", "s", func(Budgets) float64 { return InForceWithin.Seconds() }, func(s *SizeResult) float64 { return s.Verdict.Worst }},
+}
+
+// foretold is a quantity at a size by a line through what was measured; false: from fewer than three sizes.
+func (q *quantity) foretold(sizes []SizeResult, at float64) (float64, bool) {
+	var points []capacity.Point
+	for i := range sizes {
+		points = append(points, capacity.Point{Size: float64(sizes[i].Members), Value: q.value(&sizes[i])})
+	}
+	if len(points) < 3 {
+		return 0, false
+	}
+	return capacity.FitLine(points).At(at), true
+}
+
+// WriteTables writes the result's tables as Markdown.
+func WriteTables(b *bytes.Buffer, r *Result, budgets Budgets) {
+	fmt.Fprintln(b, "| members | destinations | judge | p50, p99, worst of a change in force | longest without a live member | worst real sender | worst control member | all processes | load |")
+	fmt.Fprintln(b, "| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	for i := range r.Sizes {
+		s := &r.Sizes[i]
+		if s.Verdict == nil {
+			fmt.Fprintf(b, "| %d | %d | not judged: %s | | | | | %.0f MB | %.1f |\n", s.Members, s.Destinations, s.Ended, s.MemoryMB, s.Load)
+			continue
+		}
+		v, x, c := s.Verdict, Worst(s.Senders), Worst(s.Controls)
+		fmt.Fprintf(b, "| %d | %d | %s | %.2f, %.2f, %.2f s (%d changes, %d times) | %.1f s | %.3f %% of a core, %.1f MB, %.2f KB/s | %.1f %%, %.0f MB | %.0f MB | %.1f |\n",
+			s.Members, s.Destinations, verdictText(v), v.Median, v.P99, v.Worst, v.Changes, v.InForce, v.Unserved, x.CorePercent, x.MemoryMB, x.LinkKBps, c.CorePercent, c.MemoryMB, s.MemoryMB, s.Load)
+	}
+	writeBudgets(b, r, budgets)
+	if len(r.Compare) > 0 {
+		writeComparison(b, r)
+	}
+}
+
+func verdictText(v *Verdict) string {
+	if v.Clean() {
+		return "clean"
+	}
+	var parts []string
+	for rule, n := range v.Findings {
+		parts = append(parts, fmt.Sprintf("%s %d", rule, n))
+	}
+	slices.Sort(parts)
+	return "NOT CLEAN: " + strings.Join(parts, ", ")
+}
+
+// writeBudgets says of each quantity at which measured sizes its budget holds, and what a line through them foretells.
+func writeBudgets(b *bytes.Buffer, r *Result, budgets Budgets) {
+	sizes := r.sizesOf()
+	if len(sizes) == 0 {
+		return
+	}
+	fmt.Fprintf(b, "\n| quantity | budget | measured | at %.0f members, foretold by a line |\n| --- | --- | --- | --- |\n", budgets.Senders)
+	for _, q := range quantities {
+		budget := q.budget(budgets)
+		var measured []string
+		for i := range sizes {
+			mark := "holds"
+			if q.value(&sizes[i]) > budget {
+				mark = "DOES NOT HOLD"
+			}
+			measured = append(measured, fmt.Sprintf("%d: %.3g (%s)", sizes[i].Members, q.value(&sizes[i]), mark))
+		}
+		foretold := "fewer than three sizes: not foretold"
+		if v, ok := q.foretold(sizes, budgets.Senders); ok {
+			mark := "would hold"
+			if v > budget {
+				mark = "WOULD NOT HOLD"
+			}
+			foretold = fmt.Sprintf("%.3g (%s)", v, mark)
+		}
+		fmt.Fprintf(b, "| %s | %.3g %s | %s | %s |\n", q.name, budget, q.unit, strings.Join(measured, ", "), foretold)
+	}
+}
+
+func writeComparison(b *bytes.Buffer, r *Result) {
+	fmt.Fprintln(b, "\n| destinations | members | sender of shards: knows about, ready, memory, links until ready, links then | sender of all: ready, memory, links until ready, links then |")
+	fmt.Fprintln(b, "| --- | --- | --- | --- |")
+	for _, c := range r.Compare {
+		whole := fmt.Sprintf("%.2f s, %.1f MB, %.0f KB, %.2f KB/s", c.Whole.ReadyS, c.Whole.MemoryMB, c.WholeStartKB, c.Whole.LinkKBps)
+		if c.WholeEnded != "" {
+			whole = fmt.Sprintf("%s (%.1f MB, %.0f KB asked for in vain)", c.WholeEnded, c.Whole.MemoryMB, c.WholeStartKB)
+		}
+		fmt.Fprintf(b, "| %d | %d | %d, %.2f s, %.1f MB, %.0f KB, %.2f KB/s | %s |\n", c.Destinations, c.Members, c.Known, c.Shards.ReadyS, c.Shards.MemoryMB, c.ShardsStartKB, c.Shards.LinkKBps, whole)
+	}
+}
+
+// The marks between which a page's tables stand.
+const (
+	beginMark = "<!-- generated: scale. `make scale` writes what stands between these lines. -->"
+	endMark   = "<!-- end of scale -->"
+)
+
+// WritePage replaces a page's tables by those of a result.
+func WritePage(path string, r *Result, budgets Budgets) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	at, till := bytes.Index(text, []byte(beginMark)), bytes.Index(text, []byte(endMark))
+	if at < 0 || till < at {
+		return fmt.Errorf("%s: the lines %q and %q are missing, or not in this order", path, beginMark, endMark)
+	}
+	var b bytes.Buffer
+	WriteTables(&b, r, budgets)
+	return os.WriteFile(path, slices.Concat(text[:at+len(beginMark)], []byte("\n\n"), b.Bytes(), []byte("\n"), text[till:]), 0o644)
+}
+
+// WriteJSON writes a result.
+func (r *Result) WriteJSON(out io.Writer) error {
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", " ")
+	return encoder.Encode(r)
+}
+
+// LoadResult reads a result.
+func LoadResult(path string) (*Result, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var r Result
+	if err := json.Unmarshal(text, &r); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return &r, nil
+}
+
+// WriteHTML draws a result as one page that needs nothing beside itself: the plots are SVG in it.
+func (r *Result) WriteHTML(out io.Writer, budgets Budgets) error {
+	var tables bytes.Buffer
+	WriteTables(&tables, r, budgets)
+	page := struct {
+		*Result
+		Tables string
+		Plots  []template.HTML
+	}{Result: r, Tables: tables.String()}
+	sizes := r.sizesOf()
+	for i := range quantities {
+		if len(sizes) == 0 {
+			break
+		}
+		svg, err := quantities[i].draw(sizes, budgets)
+		if err != nil {
+			return err
+		}
+		page.Plots = append(page.Plots, svg)
+	}
+	return pageTemplate.Execute(out, page)
+}
+
+// draw plots a quantity over the size, with its budget.
+func (q *quantity) draw(sizes []SizeResult, budgets Budgets) (template.HTML, error) {
+	p := plot.New()
+	p.Title.Text = q.name
+	p.X.Label.Text, p.Y.Label.Text = "members", q.unit
+	p.X.Min, p.Y.Min = 0, 0
+	var points plotter.XYs
+	most := q.budget(budgets)
+	for i := range sizes {
+		points = append(points, plotter.XY{X: float64(sizes[i].Members), Y: q.value(&sizes[i])})
+		most = math.Max(most, points[i].Y)
+	}
+	line, marks, err := plotter.NewLinePoints(points)
+	if err != nil {
+		return "", err
+	}
+	limit := plotter.NewFunction(func(float64) float64 { return q.budget(budgets) })
+	limit.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
+	p.Add(line, marks, limit)
+	p.Legend.Add("measured", line)
+	p.Legend.Add("budget", limit)
+	p.Y.Max = most * 1.1
+	canvas := vgsvg.New(16*vg.Centimeter, 7*vg.Centimeter)
+	p.Draw(draw.New(canvas))
+	var b bytes.Buffer
+	if _, err := canvas.WriteTo(&b); err != nil {
+		return "", err
+	}
+	_, svg, _ := bytes.Cut(b.Bytes(), []byte("<svg"))
+	return template.HTML("<svg" + string(svg)), nil
+}
+
+var pageTemplate = template.Must(template.New("scale").Parse(`<!DOCTYPE html>
+<html lang="en"><head><meta charset="utf-8"><title>{{.Name}}</title>
+<style>body{font-family:sans-serif;max-width:60em;margin:2em auto}pre{white-space:pre-wrap}</style></head>
+<body><h1>{{.Name}}</h1><p>{{.About}}</p>
+{{range .Plots}}<div>{{.}}</div>
+{{end}}<pre>{{.Tables}}</pre></body></html>
+`))
--- /dev/null
+++ b/internal/lab/scale/run_test.go
@@ -0,0 +1,113 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"sliptide/internal/fleet/directory"
+)
+
+// hollowEnv makes the test binary a process of hollow members.
+const hollowEnv = "SLIPTIDE_SCALE_MEMBERS"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(hollowEnv) != "" || len(os.Args) == 2 && os.Args[1] == "scale-members" {
+		if err := RunHollow(context.Background(), os.Stdin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// programs are the sender's program, built here, and this test binary as that of hollow members.
+func programs(t *testing.T) Programs {
+	t.Helper()
+	sender := filepath.Join(t.TempDir(), "sliptide")
+	if out, err := exec.Command("go", "build", "-o", sender, "sliptide/cmd/sliptide").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	lab, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Programs{Sender: sender, Lab: lab}
+}
+
+func runFile(t *testing.T, path string, change func(*Options)) *Result {
+	t.Helper()
+	f, err := Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := Options{File: f, Programs: programs(t), Dir: t.TempDir(), Progress: func(size int, phase string) { t.Logf("%d members: %s", size, phase) }, Tick: func(time.Duration, time.Duration) {}}
+	if change != nil {
+		change(&o)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Minute)
+	defer cancel()
+	r, err := Run(ctx, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// TestSmallRun plays all faults on sixty members, three control members and two real senders.
+func TestSmallRun(t *testing.T) {
+	r := runFile(t, "../../../experiments/scale-small.xml", nil)
+	s := r.Sizes[0]
+	if s.Verdict == nil {
+		t.Fatalf("ended: %s", s.Ended)
+	}
+	t.Logf("p50 %.2f, p99 %.2f, worst %.2f s of %d times; longest unserved %.1f s", s.Verdict.Median, s.Verdict.P99, s.Verdict.Worst, s.Verdict.InForce, s.Verdict.Unserved)
+	if !s.Verdict.Clean() {
+		t.Errorf("findings %v: %+v", s.Verdict.Findings, s.Verdict.Examples)
+	}
+	if s.Verdict.InForce < 100 || len(s.Senders) != 2 || Worst(s.Senders).MemoryMB == 0 {
+		t.Errorf("little was seen: %+v", s)
+	}
+}
+
+// TestSmallRunWithoutAGuard takes out what makes a member notice that its control member is silent: the judge finds
+// members that stay behind.
+func TestSmallRunWithoutAGuard(t *testing.T) {
+	r := runFile(t, "../../../experiments/scale-small.xml", func(o *Options) { o.Guard = directory.BreakSilence })
+	v := r.Sizes[0].Verdict
+	if v == nil {
+		t.Fatalf("ended: %s", r.Sizes[0].Ended)
+	}
+	if v.Findings[RuleStale]+v.Findings[RuleMissed] == 0 {
+		t.Errorf("without the guard the judge finds %v", v.Findings)
+	}
+}
+
+func TestFiles(t *testing.T) {
+	for _, name := range []string{"scale.xml", "scale-small.xml"} {
+		if _, err := Load("../../../experiments/" + name); err != nil {
+			t.Error(err)
+		}
+	}
+	for text, want := range map[string]string{
+		`<scale version="1" name="x" sizes="20 10" length="40s"/>`:                                            "ascending",
+		`<scale version="1" name="x" sizes="10" length="40s"><fleet regions="5" zones="3"/></scale>`:          "a zone for each region",
+		`<scale version="1" name="x" sizes="10" length="9s"><fault kind="rack" at="5s" for="10s"/></scale>`:   "an end within",
+		`<scale version="1" name="x" sizes="10" length="40s"><fault kind="flood" at="5s" for="10s"/></scale>`: "kind",
+		`<scale version="1" name="x" sizes="10,20" length="40s"/>`:                                            "whole numbers",
+	} {
+		path := filepath.Join(t.TempDir(), "scale.xml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Load(path); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: error %v, want one about %q", text, err, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/site.go
@@ -0,0 +1,396 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"sliptide/internal/control"
+	"sliptide/internal/fleet/link"
+	"sliptide/internal/fleet/pb"
+)
+
+const (
+	settleWithin = 2 * time.Minute
+	lookEvery    = 100 * time.Millisecond
+)
+
+// Programs are the programs that a run starts.
+type Programs struct{ Sender, Lab string }
+
+// site is all processes of one size of a run.
+type site struct {
+	file     *File
+	programs Programs
+	dir      string
+	agent    *agent
+	controls []*controlProcess
+	relays   []*relay // all, to be closed
+	hollows  []*hollowProcess
+	senders  []*senderProcess
+	record   *record
+	members  []HollowMember
+	real     []HollowMember
+}
+
+// controlProcess is a control member. The others reach it by relays.
+type controlProcess struct {
+	name, group, directory, region string
+	index                          int
+	path                           string
+	child                          *child
+	in                             []*relay // by which others reach it, by the other's index; two each
+}
+
+// senderProcess is a real sender, whose links to control members are counted.
+type senderProcess struct {
+	name   string
+	addr   string
+	child  *child
+	relays []*relay
+	config string
+	xml    string
+	ready  time.Duration // from its start until /up answered 200
+}
+
+// addrs counts the addresses that freeAddr has given.
+var addrs atomic.Int32
+
+// freeAddr is a loopback address of its own, for a process that is yet to start: with a port under those that the system
+// gives to connections, which could else take it meanwhile.
+func freeAddr() (string, error) {
+	for range 100 {
+		n := int(addrs.Add(1))
+		addr := fmt.Sprintf("127.%d.%d.%d:%d", 80+os.Getpid()%100, n>>8&0xff, n&0xff, 20000+os.Getpid()%10000)
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		return addr, ln.Close()
+	}
+	return "", errors.New("no free loopback address")
+}
+
+func regionName(i int) string { return fmt.Sprintf("region-%d", i) }
+
+// placeOf is the region and zone of the n-th of a row of members, which goes round the zones.
+func (f *File) placeOf(n int) (region, zone string) {
+	z := n % f.Zones
+	return regionName(z % f.Regions), fmt.Sprintf("zone-%02d", z)
+}
+
+// newSite prepares the processes of so many members and destinations, and starts the control members.
+func newSite(ctx context.Context, f *File, programs Programs, dir string, destinations int) (*site, error) {
+	s := &site{file: f, programs: programs, dir: dir, record: newRecord()}
+	var err error
+	if s.agent, err = newAgent(destinations); err != nil {
+		return nil, err
+	}
+	for i := range f.Controls {
+		c := &controlProcess{name: fmt.Sprintf("control-%02d", i), region: regionName(i % f.Regions), index: i}
+		if c.group, err = freeAddr(); err == nil {
+			c.directory, err = freeAddr()
+		}
+		if err != nil {
+			return s, err
+		}
+		s.controls = append(s.controls, c)
+	}
+	for _, c := range s.controls {
+		if err := s.configureControl(c); err != nil {
+			return s, err
+		}
+	}
+	for _, c := range s.controls {
+		if err := s.startControl(ctx, c); err != nil {
+			return s, err
+		}
+	}
+	return s, nil
+}
+
+// voters is how many control members vote.
+func (f *File) voters() int {
+	if f.Controls >= 5 {
+		return 5
+	}
+	return 3
+}
+
+// configureControl writes a control member's file. It reaches each other one by relays of its own.
+func (s *site) configureControl(c *controlProcess) error {
+	var text strings.Builder
+	fmt.Fprintf(&text, "<control version=\"1\" name=%q state=\"state\" discovery=%q replicas=\"%d\">\n", c.name, s.agent.addr(), s.file.Replicas)
+	for _, other := range s.controls {
+		group, dir := other.group, other.directory
+		if other != c {
+			for _, target := range []*string{&group, &dir} {
+				r, err := newRelay(*target)
+				if err != nil {
+					return err
+				}
+				s.relays = append(s.relays, r)
+				other.in = append(other.in, r)
+				c.in = append(c.in, r) // cut where either end is cut off
+				*target = r.addr()
+			}
+		}
+		fmt.Fprintf(&text, " <member name=%q addr=%q directory=%q region=%q voter=\"%t\"/>\n", other.name, group, dir, other.region, other.index < s.file.voters())
+	}
+	text.WriteString(" <duties lease=\"5s\" election=\"1s\"/>\n</control>\n")
+	dir := filepath.Join(s.dir, c.name)
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return err
+	}
+	c.path = filepath.Join(dir, "control.xml")
+	return os.WriteFile(c.path, []byte(text.String()), 0o600)
+}
+
+func (s *site) startControl(ctx context.Context, c *controlProcess) (err error) {
+	c.child, err = spawn(ctx, s.dir, c.name, nil, nil, nil, s.programs.Sender, "control", "run", c.path)
+	return err
+}
+
+// status asks a control member what it holds.
+func (c *controlProcess) status(ctx context.Context) (control.Status, error) {
+	var status control.Status
+	conn, err := link.Dial(c.directory, nil)
+	if err != nil {
+		return status, err
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	a, err := pb.NewLinksClient(conn).Call(ctx, &pb.Ask{Status: &pb.Status{}})
+	if err != nil {
+		return status, err
+	}
+	return status, json.Unmarshal([]byte(a.Status), &status)
+}
+
+// leader is the control member that leads by what most say, nil if none does.
+func (s *site) leader(ctx context.Context) *controlProcess {
+	votes := map[string]int{}
+	for _, c := range s.controls {
+		if status, err := c.status(ctx); err == nil && status.Leader != "" {
+			votes[status.Leader]++
+		}
+	}
+	for _, c := range s.controls {
+		if votes[c.name] > len(s.controls)/2 {
+			return c
+		}
+	}
+	return nil
+}
+
+// awaitDirectory waits until every control member holds the whole list.
+func (s *site) awaitDirectory(ctx context.Context) error {
+	for end := time.Now().Add(settleWithin); time.Now().Before(end); time.Sleep(lookEvery) {
+		behind := 0
+		for _, c := range s.controls {
+			select {
+			case <-c.child.exited:
+				return fmt.Errorf("%s ended at its start", c.name)
+			default:
+			}
+			if status, err := c.status(ctx); err != nil || status.Endpoints < s.agent.count {
+				behind++
+			}
+		}
+		if behind == 0 {
+			return nil
+		}
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+	}
+	return fmt.Errorf("the control members did not hold the list in %v", settleWithin)
+}
+
+func (s *site) servers() (list []ControlServer) {
+	for _, c := range s.controls {
+		list = append(list, ControlServer{c.name, c.directory, c.region})
+	}
+	return list
+}
+
+// startHollows starts so many hollow members, a process for each zone and so many of its members.
+func (s *site) startHollows(ctx context.Context, count int, guard uint) error {
+	byZone := map[string]*hollowProcess{}
+	for n := range count {
+		region, zone := s.file.placeOf(n)
+		m := HollowMember{Number: n, Name: fmt.Sprintf("hollow-%05d", n), Region: region, Zone: zone}
+		s.members = append(s.members, m)
+		h := byZone[zone]
+		if h == nil || len(h.settings.Members) >= s.file.PerProcess {
+			h = &hollowProcess{name: fmt.Sprintf("hollows-%03d", len(s.hollows)), zone: zone, settings: HollowSettings{Controls: s.servers(), Break: guard}}
+			byZone[zone] = h
+			s.hollows = append(s.hollows, h)
+		}
+		h.settings.Members = append(h.settings.Members, m)
+	}
+	for _, h := range s.hollows {
+		if err := h.start(ctx, s.programs.Lab, s.dir, s.record); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// awaitServing waits until all hollow members serve something.
+func (s *site) awaitServing(ctx context.Context) error {
+	for end := time.Now().Add(settleWithin); time.Now().Before(end); time.Sleep(lookEvery) {
+		if s.record.serving() == len(s.members) {
+			return nil
+		}
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+	}
+	return fmt.Errorf("%d of %d members served something in %v", s.record.serving(), len(s.members), settleWithin)
+}
+
+// startSender starts a real sender, of shards or as one that knows every destination, and waits until it is ready.
+func (s *site) startSender(ctx context.Context, name string, n int, sharded bool) (*senderProcess, error) {
+	p := &senderProcess{name: name}
+	region, zone := s.file.placeOf(n)
+	addr, err := freeAddr()
+	if err != nil {
+		return nil, err
+	}
+	p.addr = addr
+	agentRelay, err := newRelay(s.agent.addr())
+	if err != nil {
+		return nil, err
+	}
+	p.relays = append(p.relays, agentRelay)
+	s.relays = append(s.relays, agentRelay)
+	var xml strings.Builder
+	xml.WriteString("<sliptide version=\"1\">\n <ready patience=\"2m\"/>\n")
+	if sharded {
+		fmt.Fprintf(&xml, " <fleet><shards enabled=\"true\" region=%q zone=%q replicas=\"%d\">\n", region, zone, s.file.Replicas)
+		for _, c := range s.controls {
+			r, err := newRelay(c.directory)
+			if err != nil {
+				return nil, err
+			}
+			p.relays = append(p.relays, r)
+			s.relays = append(s.relays, r)
+			fmt.Fprintf(&xml, "  <control name=%q addr=%q region=%q/>\n", c.name, r.addr(), c.region)
+		}
+		xml.WriteString(" </shards></fleet>\n")
+		s.real = append(s.real, HollowMember{Name: name, Region: region, Zone: zone})
+	}
+	xml.WriteString("</sliptide>\n")
+	dir := filepath.Join(s.dir, name)
+	if err := os.MkdirAll(filepath.Join(dir, "state"), 0o700); err != nil {
+		return nil, err
+	}
+	p.config, p.xml = filepath.Join(dir, "config.json"), filepath.Join(dir, "sliptide.xml")
+	if err := os.WriteFile(p.xml, []byte(xml.String()), 0o600); err != nil {
+		return nil, err
+	}
+	text, err := json.Marshal(senderConfig(name, addr, agentRelay.addr()))
+	if err == nil {
+		err = os.WriteFile(p.config, text, 0o600)
+	}
+	if err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	p.child, err = spawn(ctx, s.dir, name, []string{"RELAY_CONFIG=" + p.config, "RELAY_STATE=" + filepath.Join(dir, "state")}, nil, nil, s.programs.Sender, "run", "--operator", p.xml)
+	if err != nil {
+		return nil, err
+	}
+	s.senders = append(s.senders, p)
+	for end := time.Now().Add(settleWithin); time.Now().Before(end); time.Sleep(lookEvery / 10) {
+		if response, err := http.Get("http://" + addr + "/up"); err == nil {
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				p.ready = time.Since(began)
+				return p, nil
+			}
+		}
+		select {
+		case <-p.child.exited:
+			return p, fmt.Errorf("%s ended", name)
+		case <-ctx.Done():
+			return p, ctx.Err()
+		default:
+		}
+	}
+	return p, fmt.Errorf("%s was not ready in %v", name, settleWithin)
+}
+
+// senderConfig is the platform's file of a real sender.
+func senderConfig(name, addr, discovery string) map[string]any {
+	return map[string]any{
+		"name": name, "listen": addr, "discovery": discovery, "seed": "8c1f30d27a5be964",
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
+		"settings": map[string]any{
+			"areas": []string{"zone"}, "kinds": []string{"partner"}, "balancers": 1, "round": 5,
+			"family_info": map[string]any{"call_slots": 8, "kind_batch": []int{5}, "own_limits": []bool{false}},
+			"limits":      map[string]any{"max_attempts": 6, "most_held": 1000, "keepalive": 15000, "dial_timeout": 1500, "retry_after": true, "max_retry_after": 2000},
+			"contract":    map[string]any{"answer_slack": 20, "stop_sending_within": 500, "cold": 9000, "cold_from": 0.25, "tip_multiple": 1.5, "tip_after": 3000},
+			"reporting":   map[string]any{"fields": []string{"x0", "x1"}},
+			"services":    []any{map[string]any{"name": "note", "aim": 4000, "deadline": 20000, "effect": "safe", "worth": 1, "late_worth": 0.4}},
+			"tenants":     []any{map[string]any{"name": "acme", "quota_per_s": 10}},
+		},
+	}
+}
+
+// linkBytes is what a sender's links to control members and discovery have carried so far, both ways.
+func (p *senderProcess) linkBytes() (n int64) {
+	for _, r := range p.relays {
+		n += r.bytes.Load()
+	}
+	return n
+}
+
+// memory is what all processes hold, this one included.
+func (s *site) memory() int64 {
+	total := resident(os.Getpid())
+	add := func(c *child) {
+		if c != nil {
+			total += resident(c.cmd.Process.Pid)
+		}
+	}
+	for _, c := range s.controls {
+		add(c.child)
+	}
+	for _, h := range s.hollows {
+		add(h.child)
+	}
+	for _, p := range s.senders {
+		add(p.child)
+	}
+	return total
+}
+
+// close ends all processes.
+func (s *site) close() {
+	for _, h := range s.hollows {
+		h.child.kill()
+	}
+	for _, p := range s.senders {
+		p.child.kill()
+	}
+	for _, c := range s.controls {
+		c.child.kill()
+	}
+	for _, r := range s.relays {
+		r.close()
+	}
+	if s.agent != nil {
+		s.agent.close()
+	}
+}
--- a/internal/sender/shards.go
+++ b/internal/sender/shards.go
@@ -108,21 +108,34 @@
 	var done []shard.ID
 	for id := range sh.leaving {
 		if !busy[id] {
-			s.forgetShard(id)
 			done = append(done, id)
 		}
 	}
 	if len(done) > 0 {
+		s.forgetShards(done)
 		sh.release(done)
 	}
 }
 
-// forgetShard drops all that is known of a shard's destinations.
-func (s *Sender) forgetShard(id shard.ID) {
+// forgetShards drops all that is known of shards' destinations. Many may leave in one moment: their endpoints are looked
+// through once for all.
+func (s *Sender) forgetShards(ids []shard.ID) {
 	sh := s.shards
+	leaving := map[int]bool{}
+	for _, id := range ids {
+		for dest := range sh.dests[id] {
+			leaving[dest] = true
+			delete(s.dests, dest)
+		}
+		delete(sh.dests, id)
+		delete(sh.leaving, id)
+	}
+	if len(leaving) == 0 {
+		return
+	}
 	var gone []discovery.Endpoint
 	for _, e := range s.addrs {
-		if sh.dests[id][e.Dest] {
+		if leaving[e.Dest] {
 			e.State = policy.Gone
 			gone = append(gone, e)
 		}
@@ -135,9 +148,4 @@
 		delete(s.addrs, e.ID)
 		delete(s.names, e.Name)
 	}
-	for dest := range sh.dests[id] {
-		delete(s.dests, dest)
-	}
-	delete(sh.dests, id)
-	delete(sh.leaving, id)
 }
