--- /dev/null
+++ b/internal/fleet/duty/view.go
@@ -0,0 +1,147 @@
+package duty
+
+import (
+	"slices"
+	"sort"
+
+	"google.golang.org/protobuf/proto"
+
+	"sliptide/internal/fleet/pb"
+)
+
+// This file shows the state, to members and as a snapshot of the log.
+
+// Present are the members whose sessions go on and are renewed, by name.
+func (s *State) Present() []*pb.Present {
+	list := make([]*pb.Present, 0, len(s.sessions))
+	for _, v := range s.sessions {
+		if !v.Closing {
+			list = append(list, &pb.Present{Name: v.Member, Zone: v.Zone})
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
+
+// note records that a duty has become different.
+func (s *State) note(d *Duty) {
+	s.version++
+	s.changed = append(s.changed, s.show(d))
+}
+
+func (s *State) show(d *Duty) *pb.Duty {
+	p := &pb.Duty{Name: d.Name, Zone: d.Zone, Session: d.Session, Token: d.Token, Wanted: d.Wanted, Word: d.Word, WordToken: d.WordBy, Holders: d.Holders}
+	if v := s.sessions[d.Session]; v != nil {
+		p.Holder = v.Member
+	}
+	return p
+}
+
+func (s *State) shown(name string) *pb.Duty {
+	if d := s.duties[name]; d != nil {
+		return s.show(d)
+	}
+	return nil
+}
+
+// Version grows with each change of a duty.
+func (s *State) Version() uint64 { return s.version }
+
+// Session is a session that goes on, nil if there is none of that number; it must not be changed.
+func (s *State) Session(id uint64) *pb.Session {
+	if v := s.sessions[id]; v != nil {
+		return v.Session
+	}
+	return nil
+}
+
+// Sessions are the numbers of all sessions, rising.
+func (s *State) Sessions() []uint64 {
+	list := make([]uint64, 0, len(s.sessions))
+	for id := range s.sessions {
+		list = append(list, id)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Duties are all duties as anybody may see them, by name.
+func (s *State) Duties() []*pb.Duty {
+	list := make([]*pb.Duty, 0, len(s.duties))
+	for _, d := range s.sorted() {
+		list = append(list, s.show(d))
+	}
+	return list
+}
+
+// Voter is the member that a number of the voters' agreement belongs to; Voters are all of them.
+func (s *State) Voter(id uint64) string { return s.voters[id] }
+
+// Voters are the voters by their numbers; the map must not be changed.
+func (s *State) Voters() map[uint64]string { return s.voters }
+
+// SetVoter takes a change of the voters that was agreed on; an empty name takes the number out.
+func (s *State) SetVoter(id uint64, name string) {
+	if name == "" {
+		delete(s.voters, id)
+		return
+	}
+	s.voters[id] = name
+}
+
+// Marshal is a snapshot.
+func (s *State) Marshal() ([]byte, error) {
+	p := &pb.State{Token: s.token, Version: s.version, Voters: s.voters}
+	for _, id := range s.Sessions() {
+		p.Sessions = append(p.Sessions, s.sessions[id].Session)
+	}
+	for _, d := range s.sorted() {
+		w := s.show(d)
+		w.Waiting = d.Waiting
+		p.Duties = append(p.Duties, w)
+	}
+	for name := range s.removed {
+		p.Removed = append(p.Removed, name)
+	}
+	slices.Sort(p.Removed)
+	p.Adoptions = s.Adoptions()
+	p.Again, p.Inherited = s.again.show(), s.taken.show()
+	return proto.MarshalOptions{Deterministic: true}.Marshal(p)
+}
+
+// Unmarshal returns the state of a snapshot.
+func Unmarshal(b []byte) (*State, error) {
+	var p pb.State
+	if err := proto.Unmarshal(b, &p); err != nil {
+		return nil, err
+	}
+	if p.Voters == nil {
+		p.Voters = map[uint64]string{}
+	}
+	s := New(p.Voters)
+	s.token, s.version = p.Token, p.Version
+	for _, v := range p.Sessions {
+		s.sessions[v.Id] = &Session{Session: v}
+		s.names[v.Member] = v.Id
+	}
+	for _, d := range p.Duties {
+		s.duties[d.Name] = &Duty{Name: d.Name, Zone: d.Zone, Session: d.Session, Token: d.Token, Wanted: d.Wanted, Word: d.Word, WordBy: d.WordToken, Waiting: d.Waiting, Holders: d.Holders}
+		if v := s.sessions[d.Session]; v != nil {
+			v.holds++
+		}
+	}
+	for _, d := range s.duties {
+		if d.Wanted != "" && d.Session != 0 {
+			s.plan(d, 1)
+		}
+	}
+	for _, a := range p.Adoptions {
+		s.adopted[a.Owner] = a
+	}
+	for _, name := range p.Removed {
+		s.removed[name] = true
+	}
+	s.again.load(p.Again)
+	s.taken.load(p.Inherited)
+	return s, nil
+}
