--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -143,7 +143,7 @@
 			t.Errorf("%d senders, within %g: %v, want %v", c.senders, c.within, p.most, c.want)
 		}
 		for n := 1; n < 100; n++ {
-			if d := p.after(n, p.most); d < pauseLeast/2 || d > p.most {
+			if d := p.after(n, p.most); d < minPause/2 || d > p.most {
 				t.Errorf("%d senders: pause %v after %d failures", c.senders, d, n)
 			}
 		}
@@ -171,7 +171,7 @@
 		perSecond[int(at)]++
 	}
 	for s, n := range perSecond {
-		if s == 0 && n > 6*fleetAsks || s > 0 && n > 2*fleetAsks {
+		if s == 0 && n > 6*fleetRequests || s > 0 && n > 2*fleetRequests {
 			t.Errorf("second %d: %d asks", s, n)
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -31,8 +31,8 @@
 )
 
 const (
-	inboxMost  = 1024
-	wishesMost = 16384
+	inboxSize  = 1024
+	maxCalls   = 16384
 	asideFor   = 100 * time.Millisecond // a voter that leaves has handed the lead on within this time, or has not
 	closeFor   = 170 * time.Millisecond // and what it holds, or its lease runs out
 	callFor    = 3 * time.Second
@@ -141,7 +141,7 @@
 	seenID  uint64
 	held    atomic.Pointer[holds]
 	names   atomic.Pointer[map[string]bool]
-	wishes  wishes
+	calls   calls
 	ctx     context.Context
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
@@ -154,7 +154,7 @@
 	if !known {
 		return nil, fmt.Errorf("fleet: RELAY_NAME is %q, which is no member of <fleet>", o.Settings.Name)
 	}
-	m := &Member{o: o, now: o.Now, self: self, toVoter: make(chan input, inboxMost), toOwn: make(chan input, inboxMost), toKeep: make(chan input, inboxMost), closed: make(chan struct{}), wishes: wishes{kick: make(chan struct{}, 1)}}
+	m := &Member{o: o, now: o.Now, self: self, toVoter: make(chan input, inboxSize), toOwn: make(chan input, inboxSize), toKeep: make(chan input, inboxSize), closed: make(chan struct{}), calls: calls{kick: make(chan struct{}, 1)}}
 	if m.now == nil {
 		m.now = Now
 	}
@@ -298,10 +298,10 @@
 			for range len(m.toOwn) {
 				m.takeOwn(<-m.toOwn)
 			}
-		case <-m.wishes.kick:
+		case <-m.calls.kick:
 		case <-tick.C:
 		}
-		for _, f := range m.wishes.take() {
+		for _, f := range m.calls.take() {
 			f()
 		}
 		m.session.Tick(m.now())
@@ -438,29 +438,30 @@
 // own runs f on the session's loop, in order, and waits for nothing. What is asked is bounded by the duties that
 // callers name, each of which is asked about when something happens to its partner.
 func (m *Member) own(f func()) {
-	m.wishes.mu.Lock()
-	full := len(m.wishes.list) >= wishesMost
+	m.calls.mu.Lock()
+	full := len(m.calls.list) >= maxCalls
 	if !full {
-		m.wishes.list = append(m.wishes.list, f)
+		m.calls.list = append(m.calls.list, f)
 	}
-	m.wishes.mu.Unlock()
+	m.calls.mu.Unlock()
 	select {
-	case m.wishes.kick <- struct{}{}:
+	case m.calls.kick <- struct{}{}:
 	default:
 	}
 }
 
-type wishes struct {
+// calls are functions that wait for the session's loop, in order.
+type calls struct {
 	mu   sync.Mutex
 	list []func()
 	kick chan struct{}
 }
 
-func (w *wishes) take() []func() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	list := w.list
-	w.list = nil
+func (q *calls) take() []func() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	list := q.list
+	q.list = nil
 	return list
 }
 
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -29,11 +29,11 @@
 )
 
 const (
-	queueMost  = 256 // frames that wait on a link
+	maxQueue   = 256 // frames that wait on a link
 	pingEvery  = 250 * time.Millisecond
-	silentMost = 1500 * time.Millisecond // a link that says nothing for so long is closed
-	dialLeast  = 50 * time.Millisecond   // before a further try, doubled up to
-	dialMost   = time.Second
+	maxSilence = 1500 * time.Millisecond // a link that says nothing for so long is closed
+	minRedial  = 50 * time.Millisecond   // before a further try, doubled up to
+	maxRedial  = time.Second
 )
 
 // Bounds of a member's links.
@@ -90,7 +90,7 @@
 
 // New returns a Net, and dials.
 func New(o Options) *Net {
-	o.PingEvery, o.Silent, o.MaxLinks = cmp.Or(o.PingEvery, pingEvery), cmp.Or(o.Silent, silentMost), cmp.Or(o.MaxLinks, MaxLinks)
+	o.PingEvery, o.Silent, o.MaxLinks = cmp.Or(o.PingEvery, pingEvery), cmp.Or(o.Silent, maxSilence), cmp.Or(o.MaxLinks, MaxLinks)
 	n := &Net{o: o, links: map[string]*link{}, dials: map[string]bool{}}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	opts := []grpc.ServerOption{grpc.MaxRecvMsgSize(MaxFrame), grpc.MaxConcurrentStreams(16), grpc.ConnectionTimeout(2 * time.Second),
@@ -154,13 +154,13 @@
 
 func (n *Net) dial(name, addr string) {
 	defer n.done.Done()
-	pause := dialLeast
+	pause := minRedial
 	told := false
 	for n.ctx.Err() == nil {
 		began := time.Now()
 		err := n.reach(name, addr)
-		if time.Since(began) > 2*silentMost {
-			pause, told = dialLeast, false
+		if time.Since(began) > 2*maxSilence {
+			pause, told = minRedial, false
 		}
 		if !told && n.ctx.Err() == nil {
 			n.o.Note("link down", name, err)
@@ -170,7 +170,7 @@
 		case <-n.ctx.Done():
 		case <-time.After(pause/2 + rand.N(pause)):
 		}
-		pause = min(2*pause, dialMost)
+		pause = min(2*pause, maxRedial)
 	}
 }
 
@@ -183,7 +183,7 @@
 	defer conn.Close()
 	ctx, cancel := context.WithCancel(n.ctx)
 	defer cancel()
-	up := time.AfterFunc(silentMost, cancel)
+	up := time.AfterFunc(maxSilence, cancel)
 	st, err := pb.NewLinksClient(conn).Link(ctx)
 	if err != nil {
 		return err
@@ -212,7 +212,7 @@
 	return grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(creds),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxFrame)), grpc.WithReadBufferSize(4<<10), grpc.WithWriteBufferSize(4<<10),
 		grpc.WithNoProxy(), grpc.WithDisableServiceConfig(),
-		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: silentMost, Backoff: backoff.Config{BaseDelay: dialLeast, Multiplier: 2, Jitter: 0.2, MaxDelay: dialMost}}))
+		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: maxSilence, Backoff: backoff.Config{BaseDelay: minRedial, Multiplier: 2, Jitter: 0.2, MaxDelay: maxRedial}}))
 }
 
 func (n *Net) hello() *pb.Frame {
@@ -238,7 +238,7 @@
 	select {
 	case f := <-first:
 		h = f.GetHello()
-	case <-time.After(silentMost):
+	case <-time.After(maxSilence):
 	case <-ctx.Done():
 	}
 	if err := n.welcome(h); err != nil {
@@ -275,7 +275,7 @@
 // run carries frames until the link goes down; a later link to the same member takes its place.
 func (n *Net) run(ctx context.Context, cancel context.CancelFunc, h *pb.Hello, st stream) error {
 	name := h.Member
-	l := &link{queue: make(chan *pb.Frame, queueMost), cancel: cancel, incarnation: h.Incarnation}
+	l := &link{queue: make(chan *pb.Frame, maxQueue), cancel: cancel, incarnation: h.Incarnation}
 	n.mu.Lock()
 	if old := n.links[name]; old != nil {
 		old.cancel()
--- a/internal/fleet/session/session.go
+++ b/internal/fleet/session/session.go
@@ -20,8 +20,8 @@
 )
 
 const (
-	opsMost  = 64 // asks about duties that are out at once
-	askShare = 8  // an ask that is not answered within this part of a lease goes to another voter
+	maxRequests  = 64 // asks about duties that are out at once
+	requestShare = 8  // an ask that is not answered within this part of a lease goes to another voter
 )
 
 // Options are what a Session works with.
@@ -134,7 +134,7 @@
 	return a.Id
 }
 
-func (s *Session) patience() int64 { return int64(s.o.Terms.Length) / askShare }
+func (s *Session) patience() int64 { return int64(s.o.Terms.Length) / requestShare }
 
 // jitter spreads d over half of it to one and a half times it.
 func (s *Session) jitter(d int64) int64 { return d/2 + s.o.Rand.Int64N(d+1) }
@@ -364,7 +364,7 @@
 			w.given = token // from here on it is not acted on, whatever becomes of the ask
 			s.lost(name, w)
 		}
-		if w.op != 0 || s.now < w.again || out >= opsMost {
+		if w.op != 0 || s.now < w.again || out >= maxRequests {
 			continue
 		}
 		switch {
--- a/internal/fleet/voter/requests.go
+++ b/internal/fleet/voter/requests.go
@@ -45,7 +45,7 @@
 	case a.Renew != 0:
 		if !v.granted.Heard(a.Renew, v.now) {
 			v.answer(from, &pb.Answer{Id: a.Id, Gone: true, Error: duty.ErrSession.Error()})
-		} else if len(v.renewals) < pendingMost {
+		} else if len(v.renewals) < maxPending {
 			v.renewals = append(v.renewals, renewal{from, a.Id, a.Renew})
 		}
 	case a.Command.GetAcquire() != nil && v.state.LineFull(a.Command.GetAcquire()):
@@ -59,7 +59,7 @@
 
 // propose puts a command into the log, and reports whether it is there: as long as this voter leads, it stays.
 func (v *Voter) propose(from string, ask uint64, c *pb.Command) (done bool) {
-	if len(v.pending) >= pendingMost {
+	if len(v.pending) >= maxPending {
 		v.answer(from, &pb.Answer{Id: ask, Error: duty.ErrFull.Error()})
 		return false
 	}
@@ -71,7 +71,7 @@
 	}
 	v.guard(func() { done = v.rn.Propose(b) == nil })
 	if done && v.rn != nil && from != "" {
-		v.pending[c.Id] = pending{from, ask, v.now + int64(pendingFor)}
+		v.pending[c.Id] = pending{from, ask, v.now + int64(pendingTimeout)}
 	}
 	return done
 }
@@ -98,7 +98,7 @@
 		return
 	}
 	v.readSeq++
-	r := read{seq: v.readSeq, till: v.now + int64(pendingFor), list: v.renewals}
+	r := read{seq: v.readSeq, till: v.now + int64(pendingTimeout), list: v.renewals}
 	v.renewals = nil
 	if v.o.Break&BreakConfirm != 0 {
 		r.index = v.applied
--- a/internal/fleet/voter/voter.go
+++ b/internal/fleet/voter/voter.go
@@ -31,8 +31,8 @@
 const (
 	electionTicks  = 10
 	heartbeatTicks = 2
-	pendingMost    = 4096            // asks that wait for the log, or for a majority's word
-	pendingFor     = 3 * time.Second // and for how long
+	maxPending     = 4096            // asks that wait for the log, or for a majority's word
+	pendingTimeout = 3 * time.Second // and for how long
 	reopenEvery    = time.Second     // between two tries of a log that failed
 	foundEvery     = 250 * time.Millisecond
 	caughtUp       = 64 // entries that a new voter may lack when it gets its vote
