--- a/internal/sender/shards.go
+++ b/internal/sender/shards.go
@@ -148,4 +148,16 @@
 		delete(s.addrs, e.ID)
 		delete(s.names, e.Name)
 	}
+	if len(gone) > len(s.addrs) {
+		s.addrs, s.names, s.dests, sh.dests = shrunk(s.addrs), shrunk(s.names), shrunk(s.dests), shrunk(sh.dests)
+	}
+}
+
+// shrunk is a copy of a map of which most has been deleted: a map keeps the room that it once needed.
+func shrunk[K comparable, V any](m map[K]V) map[K]V {
+	small := make(map[K]V, len(m))
+	for k, v := range m {
+		small[k] = v
+	}
+	return small
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -614,6 +614,7 @@
 		if ep := s.gone[0]; ep.goneAt > 0 && s.eps[ep.id] == ep {
 			s.forget(s.gone[0])
 		}
+		s.gone[0] = nil // or the list's array would keep it
 		s.gone = s.gone[1:]
 	}
 	for len(s.resting) > 0 {
