Lab: what measures processes stands once, in internal/lab/proc

Capacity and scale each read /proc and found addresses by themselves; capacity's addresses were of the range from which the system takes connections' ends, which cost the scale run a start.

--- a/internal/lab/capacity/measure.go
+++ b/internal/lab/capacity/measure.go
@@ -3,13 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"runtime"
-	"strconv"
-	"strings"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"sliptide/internal/lab/proc"
 )
 
 // Measurement is one way to measure at a size.
@@ -30,7 +29,7 @@
 
 // Run makes all measurements, or those whose names are given. done is told after each size.
 func Run(e *Env, only []string, done func(name string)) (*Record, error) {
-	r := &Record{Cores: runtime.NumCPU(), GoVersion: runtime.Version(), LoadBefore: load()}
+	r := &Record{Cores: runtime.NumCPU(), GoVersion: runtime.Version(), LoadBefore: proc.Load()}
 	began := time.Now()
 	for _, m := range Measurements() {
 		if !selected(m.Name, only) {
@@ -42,7 +41,7 @@
 		}
 		r.Series = append(r.Series, *s)
 	}
-	r.Seconds, r.LoadAfter = time.Since(began).Seconds(), load()
+	r.Seconds, r.LoadAfter = time.Since(began).Seconds(), proc.Load()
 	return r, nil
 }
 
@@ -87,17 +86,6 @@
 	return n
 }
 
-// load is the mean number of runnable processes over the last minute; 0 where the system does not tell.
-func load() float64 {
-	text, err := os.ReadFile("/proc/loadavg")
-	if err != nil {
-		return 0
-	}
-	first, _, _ := strings.Cut(string(text), " ")
-	value, _ := strconv.ParseFloat(first, 64)
-	return value
-}
-
 // threadTime runs f on one thread and returns the processor time that this thread took, in milliseconds. Time that the
 // garbage collector takes on other threads is not in it.
 func threadTime(f func()) float64 {
--- a/internal/lab/capacity/measure_process.go
+++ b/internal/lab/capacity/measure_process.go
@@ -11,11 +11,12 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
+
+	"sliptide/internal/lab/proc"
 )
 
 const (
@@ -100,19 +101,9 @@
 	return path, os.WriteFile(path, text, 0o600)
 }
 
-// freeAddr is an address on loopback that nobody listens on at the moment.
-func freeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
-}
-
 // start starts a sender in a folder, whose journal may be there already, and waits until it is ready.
 func (e *Env) start(dir, known string) (*process, time.Duration, error) {
-	addr, err := freeAddr()
+	addr, err := proc.FreeAddr()
 	if err != nil {
 		return nil, 0, err
 	}
@@ -155,52 +146,24 @@
 
 // resident is the resident memory in MB, once it has not grown for some looks.
 func (p *process) resident() (float64, error) {
-	most, calm := 0.0, 0
+	most, calm := int64(0), 0
 	for end := time.Now().Add(settleWithin); calm < settleFor && time.Now().Before(end); calm++ {
-		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
-		if err != nil {
-			return 0, err
-		}
-		_, rest, found := strings.Cut(string(text), "VmRSS:")
-		fields := strings.Fields(rest)
-		if !found || len(fields) == 0 {
-			return 0, errors.New("the system does not tell the resident memory")
-		}
-		kib, err := strconv.ParseFloat(fields[0], 64)
-		if err != nil {
-			return 0, err
+		now := proc.Resident(p.cmd.Process.Pid)
+		if now == 0 {
+			return 0, errors.New("the sender is gone")
 		}
-		if now := kib * 1024 / 1e6; now > most {
+		if now > most {
 			most, calm = now, 0
 		}
 		time.Sleep(lookEvery)
 	}
-	return most, nil
+	return float64(most) / 1e6, nil
 }
 
 // processorTime is what the process has taken so far, in milliseconds.
 func (p *process) processorTime() (float64, error) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/schedstat", p.cmd.Process.Pid))
-	if err != nil {
-		return 0, err
-	}
-	tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", p.cmd.Process.Pid))
-	if err != nil || len(tasks) == 0 {
-		return 0, fmt.Errorf("%s: no threads: %w", text, err)
-	}
-	total := 0.0
-	for _, task := range tasks {
-		text, err := os.ReadFile(task)
-		if err != nil {
-			continue // a thread that has ended
-		}
-		nanoseconds, err := strconv.ParseFloat(strings.Fields(string(text))[0], 64)
-		if err != nil {
-			return 0, err
-		}
-		total += nanoseconds / 1e6
-	}
-	return total, nil
+	taken, err := proc.ProcessorTime(p.cmd.Process.Pid)
+	return taken * 1e3, err
 }
 
 // scratch is a folder for one process, with its state folder in it.
--- a/internal/lab/scale/process.go
+++ b/internal/lab/scale/process.go
@@ -3,14 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 
@@ -50,41 +47,6 @@
 	}
 }
 
-// resident is a process's resident memory in bytes, 0 if it is gone.
-func resident(pid int) int64 {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
-	if err != nil {
-		return 0
-	}
-	fields := strings.Fields(string(text))
-	if len(fields) < 2 {
-		return 0
-	}
-	pages, _ := strconv.ParseInt(fields[1], 10, 64)
-	return pages * int64(os.Getpagesize())
-}
-
-// processorTime is what a process has taken so far, in seconds.
-func processorTime(pid int) (float64, error) {
-	tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
-	if err != nil || len(tasks) == 0 {
-		return 0, errors.New("the process is gone")
-	}
-	total := 0.0
-	for _, task := range tasks {
-		text, err := os.ReadFile(task)
-		if err != nil {
-			continue // a thread that has ended
-		}
-		nanoseconds, err := strconv.ParseFloat(strings.Fields(string(text))[0], 64)
-		if err != nil {
-			return 0, err
-		}
-		total += nanoseconds / 1e9
-	}
-	return total, nil
-}
-
 // hollowProcess is a process of hollow members.
 type hollowProcess struct {
 	name     string
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -13,6 +13,7 @@
 
 	"sliptide/internal/fleet"
 	"sliptide/internal/fleet/directory"
+	"sliptide/internal/lab/proc"
 )
 
 // InForceWithin is the time within which a change has to be in force at a member that can be reached.
@@ -159,7 +160,7 @@
 	result.SettleS = time.Since(began).Seconds()
 	o.Progress(size, "schedule")
 	err = p.schedule(ctx)
-	result.MemoryMB, result.Load = p.mostMB, load()
+	result.MemoryMB, result.Load = p.mostMB, proc.Load()
 	for _, c := range s.controls {
 		result.Controls = append(result.Controls, p.used(c.name, c.child, 0, 0))
 	}
@@ -252,7 +253,7 @@
 
 // measure begins to watch a process.
 func (p *play) measure(c *child, bytes int64) {
-	taken, _ := processorTime(c.cmd.Process.Pid)
+	taken, _ := proc.ProcessorTime(c.cmd.Process.Pid)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.usage[c] = &meter{began: taken, bytes: bytes, at: time.Now()}
@@ -266,7 +267,7 @@
 	if m == nil {
 		return Usage{Name: name}
 	}
-	taken, err := processorTime(c.cmd.Process.Pid)
+	taken, err := proc.ProcessorTime(c.cmd.Process.Pid)
 	elapsed := time.Since(m.at).Seconds()
 	if err == nil && elapsed > 0 {
 		m.CorePercent = 100 * (taken - m.began) / elapsed
@@ -281,7 +282,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c, m := range p.usage {
-		m.MemoryMB = max(m.MemoryMB, float64(resident(c.cmd.Process.Pid))/1e6)
+		m.MemoryMB = max(m.MemoryMB, float64(proc.Resident(c.cmd.Process.Pid))/1e6)
 	}
 	total := p.memory()
 	p.mostMB = max(p.mostMB, float64(total)/1e6)
@@ -421,16 +422,6 @@
 	return nil
 }
 
-// load is the mean number of runnable processes over the last minute.
-func load() (value float64) {
-	text, err := os.ReadFile("/proc/loadavg")
-	if err != nil {
-		return 0
-	}
-	fmt.Sscan(string(text), &value)
-	return value
-}
-
 // Comparison is one number of destinations with both kinds of senders beside each other.
 type Comparison struct {
 	Destinations int   `json:"destinations"`
--- a/internal/lab/scale/site.go
+++ b/internal/lab/scale/site.go
@@ -3,19 +3,17 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"sliptide/internal/control"
 	"sliptide/internal/fleet/link"
 	"sliptide/internal/fleet/pb"
+	"sliptide/internal/lab/proc"
 )
 
 const (
@@ -61,24 +59,6 @@
 	ready  time.Duration // from its start until /up answered 200
 }
 
-// addrs counts the addresses that freeAddr has given.
-var addrs atomic.Int32
-
-// freeAddr is a loopback address of its own, for a process that is yet to start: with a port under those that the system
-// gives to connections, which could else take it meanwhile.
-func freeAddr() (string, error) {
-	for range 100 {
-		n := int(addrs.Add(1))
-		addr := fmt.Sprintf("127.%d.%d.%d:%d", 80+os.Getpid()%100, n>>8&0xff, n&0xff, 20000+os.Getpid()%10000)
-		ln, err := net.Listen("tcp", addr)
-		if err != nil {
-			continue
-		}
-		return addr, ln.Close()
-	}
-	return "", errors.New("no free loopback address")
-}
-
 func regionName(i int) string { return fmt.Sprintf("region-%d", i) }
 
 // placeOf is the region and zone of the n-th of a row of members, which goes round the zones.
@@ -96,8 +76,8 @@
 	}
 	for i := range f.Controls {
 		c := &controlProcess{name: fmt.Sprintf("control-%02d", i), region: regionName(i % f.Regions), index: i}
-		if c.group, err = freeAddr(); err == nil {
-			c.directory, err = freeAddr()
+		if c.group, err = proc.FreeAddr(); err == nil {
+			c.directory, err = proc.FreeAddr()
 		}
 		if err != nil {
 			return s, err
@@ -263,7 +243,7 @@
 func (s *site) startSender(ctx context.Context, name string, n int, sharded bool) (*senderProcess, error) {
 	p := &senderProcess{name: name}
 	region, zone := s.file.placeOf(n)
-	addr, err := freeAddr()
+	addr, err := proc.FreeAddr()
 	if err != nil {
 		return nil, err
 	}
@@ -358,10 +338,10 @@
 
 // memory is what all processes hold, this one included.
 func (s *site) memory() int64 {
-	total := resident(os.Getpid())
+	total := proc.Resident(os.Getpid())
 	add := func(c *child) {
 		if c != nil {
-			total += resident(c.cmd.Process.Pid)
+			total += proc.Resident(c.cmd.Process.Pid)
 		}
 	}
 	for _, c := range s.controls {
