--- a/internal/lab/capacity/measure_sender.go
+++ b/internal/lab/capacity/measure_sender.go
@@ -169,71 +169,73 @@
 	return j.Close()
 }
 
+// withJournal measures on a folder of its own with a journal of so many events.
+func withJournal(e *Env, events int, measure func(dir string) (float64, error)) (float64, error) {
+	dir, err := os.MkdirTemp(e.Dir, "journal-")
+	if err != nil {
+		return 0, err
+	}
+	defer os.RemoveAll(dir)
+	if err := fill(dir, events); err != nil {
+		return 0, err
+	}
+	return measure(dir)
+}
+
 func journalMeasurements() []Measurement {
 	sizes := []int{300, 1000, 3000, 10000, 30000, 100000}
 	return []Measurement{{
 		Name: "journal-bytes", Role: roleSender, What: "journal of a held event of 500 bytes", Unit: "KB", Per: "held event", Sizes: sizes,
 		Run: func(e *Env, size int) (float64, error) {
-			dir, err := os.MkdirTemp(e.Dir, "journal-")
-			if err != nil {
-				return 0, err
-			}
-			defer os.RemoveAll(dir)
-			if err := fill(dir, size); err != nil {
-				return 0, err
-			}
-			info, err := os.Stat(filepath.Join(dir, "journal"))
-			if err != nil {
-				return 0, err
-			}
-			return float64(info.Size()) / 1e3, nil
+			return withJournal(e, size, func(dir string) (float64, error) {
+				info, err := os.Stat(filepath.Join(dir, "journal"))
+				if err != nil {
+					return 0, err
+				}
+				return float64(info.Size()) / 1e3, nil
+			})
 		},
 	}, {
 		Name: "journal-replay", Role: roleSender, What: "processor time to replay the journal", Unit: "ms", Per: "held event", Sizes: sizes, Repeats: 3,
 		Run: func(e *Env, size int) (float64, error) {
-			dir, err := os.MkdirTemp(e.Dir, "journal-")
-			if err != nil {
-				return 0, err
-			}
-			defer os.RemoveAll(dir)
-			if err := fill(dir, size); err != nil {
-				return 0, err
-			}
-			var opened *journal.Journal
-			took := threadTime(func() { opened, _, err = journal.Open(dir, statedir.NewSpace(1<<40).Account()) })
-			if err != nil {
-				return 0, err
-			}
-			return took, opened.Close()
+			return withJournal(e, size, func(dir string) (float64, error) {
+				var opened *journal.Journal
+				var err error
+				took := threadTime(func() { opened, _, err = journal.Open(dir, statedir.NewSpace(1<<40).Account()) })
+				if err != nil {
+					return 0, err
+				}
+				return took, opened.Close()
+			})
 		},
 	}, {
 		Name: "copy-bytes", Role: roleHolder, What: "records of an event's whole life that go to each holder of copies", Unit: "KB", Per: "event",
 		Sizes: []int{10, 100, 1000, 10000, 100000},
 		Run: func(e *Env, size int) (float64, error) {
-			dir, err := os.MkdirTemp(e.Dir, "journal-")
-			if err != nil {
-				return 0, err
-			}
-			defer os.RemoveAll(dir)
-			j, _, err := journal.Open(dir, statedir.NewSpace(1<<40).Account())
-			if err != nil {
-				return 0, err
-			}
-			j.Tap()
-			total := 0
-			for range size {
-				x := entry(j.Next(), time.Now().Add(time.Hour))
-				j.Take(x)
-				j.Start(x, time.Now().UnixMilli(), 0)
-				j.Outcome(x, false)
-				j.End(x)
-				total += len(j.Tapped())
-			}
-			return float64(total) / 1e3, j.Close()
+			return withJournal(e, 0, func(dir string) (float64, error) { return recordsOfLives(dir, size) })
 		},
 	}}
 }
 
+// recordsOfLives is how many kilobytes the records of so many events take, from their taking on to their end.
+func recordsOfLives(dir string, events int) (float64, error) {
+	j, _, err := journal.Open(dir, statedir.NewSpace(1<<40).Account())
+	if err != nil {
+		return 0, err
+	}
+	j.Tap()
+	total := 0
+	for range events {
+		x := entry(j.Next(), time.Now().Add(time.Hour))
+		j.Take(x)
+		j.Start(x, time.Now().UnixMilli(), 0)
+		j.Outcome(x, false)
+		j.End(x)
+		total += len(j.Tapped())
+	}
+	return float64(total) / 1e3, j.Close()
+}
+
 func listMeasurements() []Measurement {
 	return []Measurement{{
 		Name: "list-bytes", Role: roleList, What: "the list of endpoints, one endpoint a destination", Unit: "KB", Per: "destination",
