--- a/internal/lab/scale/agent.go
+++ b/internal/lab/scale/agent.go
@@ -18,7 +18,6 @@
 
 	mu      sync.Mutex
 	count   int
-	version int
 	at      []int // by destination: the number of its last change
 	changes []int // by number, from 1: the destination that it changed
 	changed chan struct{}
--- a/internal/lab/scale/judge.go
+++ b/internal/lab/scale/judge.go
@@ -96,7 +96,6 @@
 	upSince int64
 	version uint64
 	serves  map[uint32]bool
-	behind  int64 // since when it was seen behind; 0: it is not
 }
 
 type coverage struct {
