--- a/internal/lab/cli/scale.go
+++ b/internal/lab/cli/scale.go
@@ -15,9 +15,9 @@
 )
 
 type scaleCmd struct {
-	File   string `arg:"" optional:"" help:"The scale run's file." default:"experiments/scale.xml"`
+	File   string `arg:"" optional:"" help:"The scale run's file." default:"experiments/fleet/scale.xml"`
 	Out    string `default:"lab-results" help:"Folder for NAME.json and NAME.html." placeholder:"DIR"`
-	Target string `default:"experiments/target.xml" help:"The target whose budgets are held against." placeholder:"FILE"`
+	Target string `default:"experiments/fleet/target.xml" help:"The target whose budgets are held against." placeholder:"FILE"`
 	Page   string `help:"A page whose tables are written, too." placeholder:"FILE"`
 	Binary string `default:"bin/sliptide" help:"The program of control members and senders." placeholder:"FILE"`
 	Keep   string `help:"Keep the processes' logs in this folder." placeholder:"DIR"`
