Scale: what a run shares between its faults and its looks is locked

Change: processes stand behind atomic pointers, orders and restarts of hollow members behind a lock, the generator too.

Measured: TestSmallRun under -race passes without a report (54 s).

--- a/internal/lab/scale/process.go
+++ b/internal/lab/scale/process.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"bufio"
@@ -52,7 +53,8 @@
 	name     string
 	zone     string
 	settings HollowSettings
-	child    *child
+	child    atomic.Pointer[child]
+	mu       sync.Mutex // held while the process is started, ended or told something
 	orders   io.WriteCloser
 	encoder  *json.Encoder
 }
@@ -95,12 +97,15 @@
 	if err != nil {
 		return err
 	}
-	h.child, err = spawn(ctx, dir, h.name, []string{"GOMAXPROCS=2"}, ordersOut, seenIn, lab, "scale-members")
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	started, err := spawn(ctx, dir, h.name, []string{"GOMAXPROCS=2"}, ordersOut, seenIn, lab, "scale-members")
 	ordersOut.Close()
 	seenIn.Close()
 	if err != nil {
 		return err
 	}
+	h.child.Store(started)
 	h.orders, h.encoder = ordersIn, json.NewEncoder(ordersIn)
 	go func() {
 		defer seenOut.Close()
@@ -116,9 +121,18 @@
 	return h.encoder.Encode(h.settings)
 }
 
+// tell gives the process an order.
+func (h *hollowProcess) tell(o Order) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.encoder.Encode(o)
+}
+
 // kill ends the process, and notes that its members are down.
 func (h *hollowProcess) kill(now func() int64, r *record) {
-	h.child.kill()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.child.Load().kill()
 	h.orders.Close()
 	at := now()
 	for _, m := range h.settings.Members {
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -162,7 +162,7 @@
 	err = p.schedule(ctx)
 	result.MemoryMB, result.Load = p.mostMB, proc.Load()
 	for _, c := range s.controls {
-		result.Controls = append(result.Controls, p.used(c.name, c.child, 0, 0))
+		result.Controls = append(result.Controls, p.used(c.name, c.child.Load(), 0, 0))
 	}
 	for _, x := range s.senders {
 		result.Senders = append(result.Senders, p.used(x.name, x.child, x.linkBytes(), x.ready))
@@ -188,7 +188,7 @@
 func (p *play) schedule(ctx context.Context) error {
 	f := p.o.File
 	for _, c := range p.controls {
-		p.measure(c.child, 0)
+		p.measure(c.child.Load(), 0)
 	}
 	for _, x := range p.senders {
 		p.measure(x.child, x.linkBytes())
@@ -245,7 +245,9 @@
 }
 
 func (p *play) changeOne() {
+	p.mu.Lock()
 	destination := p.rng.IntN(p.agent.count)
+	p.mu.Unlock()
 	at := fleet.Now()
 	number := p.agent.change(destination)
 	p.changes = append(p.changes, Change{At: at, Destination: uint64(destination), Number: number})
@@ -341,13 +343,13 @@
 	for _, m := range h.settings.Members[:min(f.Size, len(h.settings.Members))] {
 		numbers = append(numbers, m.Number)
 	}
-	if err := h.encoder.Encode(Order{Stop: numbers}); err != nil {
+	if err := h.tell(Order{Stop: numbers}); err != nil {
 		return err
 	}
 	if !sleep(ctx, f.For) {
 		return nil
 	}
-	return h.encoder.Encode(Order{Start: numbers})
+	return h.tell(Order{Start: numbers})
 }
 
 // zone kills all members of a zone, and starts them again later.
@@ -411,14 +413,14 @@
 			return nil
 		}
 	}
-	leader.child.kill()
+	leader.child.Load().kill()
 	if !sleep(ctx, f.For) {
 		return nil
 	}
 	if err := p.startControl(ctx, leader); err != nil {
 		return err
 	}
-	p.measure(leader.child, 0)
+	p.measure(leader.child.Load(), 0)
 	return nil
 }
 
--- a/internal/lab/scale/site.go
+++ b/internal/lab/scale/site.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"sliptide/internal/control"
@@ -44,7 +45,7 @@
 	name, group, directory, region string
 	index                          int
 	path                           string
-	child                          *child
+	child                          atomic.Pointer[child]
 	in                             []*relay // by which others reach it, by the other's index; two each
 }
 
@@ -52,7 +53,7 @@
 type senderProcess struct {
 	name   string
 	addr   string
-	child  *child
+	child  *child // started once
 	relays []*relay
 	config string
 	xml    string
@@ -134,8 +135,11 @@
 	return os.WriteFile(c.path, []byte(text.String()), 0o600)
 }
 
-func (s *site) startControl(ctx context.Context, c *controlProcess) (err error) {
-	c.child, err = spawn(ctx, s.dir, c.name, nil, nil, nil, s.programs.Sender, "control", "run", c.path)
+func (s *site) startControl(ctx context.Context, c *controlProcess) error {
+	started, err := spawn(ctx, s.dir, c.name, nil, nil, nil, s.programs.Sender, "control", "run", c.path)
+	if err == nil {
+		c.child.Store(started)
+	}
 	return err
 }
 
@@ -178,7 +182,7 @@
 		behind := 0
 		for _, c := range s.controls {
 			select {
-			case <-c.child.exited:
+			case <-c.child.Load().exited:
 				return fmt.Errorf("%s ended at its start", c.name)
 			default:
 			}
@@ -345,10 +349,10 @@
 		}
 	}
 	for _, c := range s.controls {
-		add(c.child)
+		add(c.child.Load())
 	}
 	for _, h := range s.hollows {
-		add(h.child)
+		add(h.child.Load())
 	}
 	for _, p := range s.senders {
 		add(p.child)
@@ -359,13 +363,13 @@
 // close ends all processes.
 func (s *site) close() {
 	for _, h := range s.hollows {
-		h.child.kill()
+		h.child.Load().kill()
 	}
 	for _, p := range s.senders {
 		p.child.kill()
 	}
 	for _, c := range s.controls {
-		c.child.kill()
+		c.child.Load().kill()
 	}
 	for _, r := range s.relays {
 		r.close()
