--- /dev/null
+++ b/internal/fleet/commands.go
@@ -0,0 +1,76 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"sliptide/internal/fleet/pb"
+	"sliptide/internal/fleet/session"
+	"sliptide/internal/fleet/voter"
+)
+
+// This file answers operators' commands, which any member takes.
+
+// call answers an operator's command, at any member.
+func (m *Member) call(ctx context.Context, a *pb.Ask) (*pb.Answer, error) {
+	if a.Copies != nil {
+		return m.copyStatus(), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callFor)
+	defer cancel()
+	answers := make(chan *pb.Answer, 2)
+	if a.Status != nil && m.self.Voter {
+		m.askStatus(ctx, answers)
+	} else {
+		m.forward(ctx, a, answers)
+	}
+	select {
+	case r := <-answers:
+		return r, nil
+	case <-ctx.Done():
+		return nil, session.ErrNoQuorum
+	}
+}
+
+// copyStatus is how this member's own copies are.
+func (m *Member) copyStatus() *pb.Answer {
+	if m.o.CopyStatus != nil {
+		if text := m.o.CopyStatus(); text != "" {
+			return &pb.Answer{Status: text}
+		}
+	}
+	return &pb.Answer{Error: "this member's journal is not copied"}
+}
+
+func (m *Member) askStatus(ctx context.Context, answers chan<- *pb.Answer) {
+	f := func() {
+		r := &pb.Answer{}
+		if m.voter != nil {
+			r.Status, r.Leader = m.voter.Status(), m.voter.Leader()
+		} else {
+			b, _ := json.Marshal(voter.Status{Asked: m.self.Name, Failed: "its log cannot be opened"})
+			r.Status = string(b)
+		}
+		answers <- r
+	}
+	select {
+	case m.toVoter <- input{call: f}:
+	case <-ctx.Done():
+	}
+}
+
+func (m *Member) forward(ctx context.Context, a *pb.Ask, answers chan<- *pb.Answer) {
+	f := func() {
+		m.session.Do(a, callFor-200*time.Millisecond, func(r *pb.Answer, err error) {
+			if r == nil {
+				r = &pb.Answer{Error: err.Error()}
+			}
+			answers <- r
+		})
+	}
+	select {
+	case m.toOwn <- input{call: f}:
+	case <-ctx.Done():
+	}
+}
