Outbound: calls and connections have files of their own

Cause: outbound.go held the pool, the calls and the life of a connection in 542 lines, and the incident's work is on the last alone. Change: call.go and conn.go, moved without a change of a line; outbound.go is the pool.

--- /dev/null
+++ b/internal/outbound/conn.go
@@ -0,0 +1,206 @@
+package outbound
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"sliptide/internal/http1"
+	"sliptide/policy"
+)
+
+// restWithin bounds the time from an answer's first byte to its last. One that has begun and does
+// not go on is spoilt; waiting for the call's own time-out would hold its slot for seconds.
+const restWithin = 400 * time.Millisecond
+
+// interimMost bounds the 1xx answers ahead of the real one.
+const interimMost = 8
+
+// conn is one connection; its goroutine serves one call after another.
+type conn struct {
+	pool     *Pool
+	partner  *Partner
+	endpoint uint32
+	addr     string
+	nc       net.Conn
+	rd       *http1.Reader
+	calls    chan *Call // closed to end the goroutine
+	usedAt   time.Time
+	wbuf     []byte
+	parser   fastjson.Parser
+}
+
+// alive reports whether the other side has neither closed the connection nor
+// sent anything unasked.
+func alive(nc net.Conn) bool {
+	if t, ok := nc.(*tls.Conn); ok {
+		nc = t.NetConn()
+	}
+	raw, err := nc.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// run dials for c and serves calls until the connection ends.
+func (k *conn) run(c *Call) {
+	defer func() {
+		k.pool.mu.Lock()
+		k.pool.open--
+		k.pool.mu.Unlock()
+	}()
+	if !k.dial(c) {
+		return
+	}
+	defer k.nc.Close()
+	for k.serve(c) {
+		if c = k.next(); c == nil {
+			return
+		}
+	}
+}
+
+// next is the next call of a connection that was parked; nil: it is to be closed.
+func (k *conn) next() *Call {
+	timer := time.NewTimer(k.pool.fresh())
+	defer timer.Stop()
+	select {
+	case c := <-k.calls:
+		return c
+	case <-timer.C:
+		if k.pool.unpark(k) {
+			return nil
+		}
+		return <-k.calls
+	}
+}
+
+func (k *conn) dial(c *Call) bool {
+	limit := time.Now().Add(min(k.pool.opt.DialTimeout, time.Until(c.SentAt.Add(c.Timeout))))
+	ctx, cancel := context.WithDeadline(context.Background(), c.earlier(limit))
+	defer cancel()
+	partner := k.partner
+	if partner == nil {
+		partner = &Partner{}
+	} else if partner.TLS != nil && partner.HTTP2 { // it chose HTTP/1.1 when it was asked for more
+		one := *partner
+		one.HTTP2 = false
+		partner = &one
+	}
+	nc, _, err := partner.Dial(ctx, k.addr)
+	if err != nil && k.pool.withheld(c) { // its own bound came first: that says nothing of the endpoint
+		return false
+	}
+	if err != nil {
+		if k.partner != nil {
+			k.pool.complain(k.endpoint, k.addr, err)
+		}
+		k.pool.fail(c, policy.ConnectFailed)
+		return false
+	}
+	k.nc, k.rd = nc, http1.NewReader(nc)
+	return true
+}
+
+// serve makes one call and reports whether the connection can take another, for
+// which it is parked then.
+func (k *conn) serve(c *Call) bool {
+	deadline := c.SentAt.Add(c.Timeout)
+	k.nc.SetDeadline(deadline)
+	k.wbuf = c.append(k.wbuf[:0])
+	if barred := c.barred(); barred || !c.begin() {
+		dropped := barred && c.Drop()
+		k.pool.park(k) // the call was dropped while it waited for the connection, which is as good as any
+		if dropped {   // told last: the next call, which this outcome may set free, has to find the connection
+			k.pool.end(c, policy.Moot)
+		}
+		return true
+	}
+	k.nc.SetWriteDeadline(c.earlier(deadline))
+	if !c.on(k.nc) {
+		k.nc.Close()
+		k.pool.end(c, policy.ConnectFailed)
+		return false
+	}
+	if n, err := k.nc.Write(k.wbuf); err != nil {
+		k.nc.Close()
+		c.off()
+		if n < len(k.wbuf) { // the last byte was not written: it never ran
+			k.pool.end(c, policy.ConnectFailed)
+		} else {
+			k.pool.end(c, policy.Reset)
+		}
+		return false
+	}
+	m, err := k.response(deadline)
+	given := c.off()
+	more := err == nil && !given && !m.Close && !k.rd.Buffered()
+	events := k.read(c, m, err)
+	// Both before it is reported: a further attempt must not find this one open, and a call
+	// that the outcome sets free must find this connection, or it opens a new one.
+	if more {
+		k.pool.park(k)
+	} else {
+		k.nc.Close()
+	}
+	k.pool.opt.Done(c, events)
+	return more
+}
+
+// response reads the real answer. What begins before the deadline and is no answer is errSpoilt.
+func (k *conn) response(deadline time.Time) (*http1.Message, error) {
+	for range interimMost {
+		k.nc.SetReadDeadline(deadline)
+		if err := k.rd.Wait(); err != nil {
+			return &http1.Message{}, err
+		}
+		if rest := time.Now().Add(restWithin); rest.Before(deadline) {
+			k.nc.SetReadDeadline(rest)
+		}
+		m, err := k.rd.Response()
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, http1.ErrMalformed), errors.Is(err, http1.ErrTooLarge):
+			return m, errSpoilt
+		case err != nil || m.Status >= 200:
+			return m, err
+		}
+	}
+	return &http1.Message{}, errSpoilt
+}
+
+var errSpoilt = errors.New("answer that cannot be read")
+
+// read turns an answer, or the lack of one, into the call's events.
+func (k *conn) read(c *Call, m *http1.Message, err error) []policy.Event {
+	single := len(c.Items) <= 1
+	if err != nil && !(single && m.Status == 200) {
+		o := policy.Reset
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded), c.Given():
+			o = policy.Timeout
+		case errors.Is(err, errSpoilt):
+			o = policy.Error // the endpoint and the connection were there: neither a break nor silence
+		}
+		return c.events(answer{outcome: o})
+	}
+	get := func(name string) string { return string(m.Headers.Get(name)) }
+	a := k.pool.answer(m.Status, get, single)
+	if single || m.Status != 200 {
+		return c.events(a)
+	}
+	return each(&k.parser, c, m.Body, a)
+}
