Outbound: the log tells why each connection to an endpoint was closed

Change: a record for each close with its reason (eleven are told apart) and how many answers the connection had carried; bytes that nobody asked for are a warning also without records; the record of a taking on has the client's id.

--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -32,28 +32,46 @@
 	rd       *http1.Reader
 	calls    chan *Call // closed to end the goroutine
 	usedAt   time.Time
+	answers  int         // whole answers that it has carried
+	reason   CloseReason // why calls was closed; written before that, under the pool's lock
 	wbuf     []byte
 	parser   fastjson.Parser
 }
 
-// alive reports whether the other side has neither closed the connection nor
-// sent anything unasked.
-func alive(nc net.Conn) bool {
+// condition is what can be seen of a connection that carries no call.
+type condition uint8
+
+const (
+	quiet       condition = iota // open, and nothing has come
+	ended                        // the other side has closed it, or it is broken
+	unsolicited                  // the other side has sent what nobody asked for
+)
+
+// look tells the condition of a connection that carries no call. It reads nothing and does not wait.
+func look(nc net.Conn) condition {
 	if t, ok := nc.(*tls.Conn); ok {
 		nc = t.NetConn()
 	}
 	raw, err := nc.(*net.TCPConn).SyscallConn()
 	if err != nil {
-		return false
+		return ended
 	}
-	quiet := false
+	seen := ended
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, syscall.EAGAIN):
+			seen = quiet
+		case err == nil && n > 0:
+			seen = unsolicited
+		}
 		return true
 	})
-	return err == nil && quiet
+	if err != nil {
+		return ended
+	}
+	return seen
 }
 
 // run dials for c and serves calls until the connection ends.
@@ -69,6 +87,7 @@
 	defer k.nc.Close()
 	for k.serve(c) {
 		if c = k.next(); c == nil {
+			k.closed(k.reason)
 			return
 		}
 	}
@@ -133,12 +152,14 @@
 	k.nc.SetWriteDeadline(c.earlier(deadline))
 	if !c.on(k.nc) {
 		k.nc.Close()
+		k.closed(CloseGivenUp)
 		k.pool.end(c, policy.ConnectFailed)
 		return false
 	}
 	if n, err := k.nc.Write(k.wbuf); err != nil {
 		k.nc.Close()
 		c.off()
+		k.closed(CloseWrite)
 		if n < len(k.wbuf) { // the last byte was not written: it never ran
 			k.pool.end(c, policy.ConnectFailed)
 		} else {
@@ -148,7 +169,7 @@
 	}
 	m, err := k.response(deadline)
 	given := c.off()
-	more := err == nil && !given && !m.Close && !k.rd.Buffered()
+	reason, more := k.afterAnswer(m, err, given)
 	events := k.read(c, m, err)
 	// Both before it is reported: a further attempt must not find this one open, and a call
 	// that the outcome sets free must find this connection, or it opens a new one.
@@ -156,11 +177,32 @@
 		k.pool.park(k)
 	} else {
 		k.nc.Close()
+		k.closed(reason)
 	}
 	k.pool.opt.Done(c, events)
 	return more
 }
 
+// afterAnswer reports whether the connection can take a further call, and if not, why it is closed.
+func (k *conn) afterAnswer(m *http1.Message, err error, given bool) (reason CloseReason, more bool) {
+	switch {
+	case given:
+		return CloseGivenUp, false
+	case errors.Is(err, errSpoilt):
+		return CloseSpoilt, false
+	case err != nil:
+		return CloseBroken, false
+	}
+	k.answers++
+	switch {
+	case m.Close:
+		return CloseAsked, false
+	case k.rd.Buffered():
+		return CloseUnsolicited, false
+	}
+	return 0, true
+}
+
 // response reads the real answer. What begins before the deadline and is no answer is errSpoilt.
 func (k *conn) response(deadline time.Time) (*http1.Message, error) {
 	for range interimMost {
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -26,6 +26,8 @@
 	Partner func(dest int) *Partner
 	// Trouble is told why a connection could not be had, once in troubleGap for an endpoint; it may be nil.
 	Trouble func(endpoint uint32, addr string, err error)
+	// Closed is told of each connection over HTTP/1.1 that is closed. It must not be held up; it may be nil.
+	Closed func(Closing)
 }
 
 // troubleGap is the time between two words on one endpoint.
@@ -140,15 +142,39 @@
 		p.idle[c.Endpoint] = list[:len(list)-1]
 		// An idle connection that its endpoint has closed (a crash, a restart) would turn a
 		// call that never ran into a reset, which may have run.
-		if k.addr == c.Addr && k.partner == partner && time.Since(k.usedAt) < p.fresh() && alive(k.nc) {
+		reason, usable := p.usable(k, c, partner)
+		if usable {
 			k.calls <- c // holds one, and none is under way to a connection that was idle
 			return true
 		}
-		close(k.calls)
+		k.end(reason)
 	}
 	return false
 }
 
+// usable reports whether an idle connection can take a call, and if not, why it is closed.
+func (p *Pool) usable(k *conn, c *Call, partner *Partner) (CloseReason, bool) {
+	switch {
+	case k.addr != c.Addr || k.partner != partner:
+		return CloseReplaced, false
+	case time.Since(k.usedAt) >= p.fresh():
+		return CloseIdle, false
+	}
+	switch look(k.nc) {
+	case ended:
+		return ClosePeer, false
+	case unsolicited:
+		return CloseUnsolicited, false
+	}
+	return 0, true
+}
+
+// end makes an idle connection close. The pool's lock is held.
+func (k *conn) end(reason CloseReason) {
+	k.reason = reason
+	close(k.calls)
+}
+
 // connect makes a call on a new connection, if there is room for one.
 func (p *Pool) connect(c *Call, partner *Partner) {
 	if !p.reserve() {
@@ -177,7 +203,7 @@
 		return false
 	}
 	p.idle[oldest.endpoint] = p.idle[oldest.endpoint][1:]
-	close(oldest.calls)
+	oldest.end(CloseEvicted)
 	return true
 }
 
@@ -186,7 +212,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, k := range p.idle[endpoint] {
-		close(k.calls)
+		k.end(CloseHungUp)
 	}
 	delete(p.idle, endpoint)
 	if m := p.mux[endpoint]; m != nil {
@@ -195,7 +221,7 @@
 }
 
 // park puts k among the idle connections. The last call's deadline goes with it:
-// once it has passed, alive would take the connection for dead.
+// once it has passed, look would take the connection for dead.
 func (p *Pool) park(k *conn) {
 	k.nc.SetDeadline(time.Time{})
 	p.mu.Lock()
--- a/internal/sender/observe.go
+++ b/internal/sender/observe.go
@@ -40,13 +40,13 @@
 	w.Recorder.Push(r)
 }
 
-// line writes a record of a message, for "sliptide lab count". A message is named by its number, not by what
-// its client calls it.
+// line writes a record of a message, for "sliptide lab count". A message is named by its number; the record of its
+// taking on has the id that its client gave it, too.
 func (w *observer) line(r *telemetry.Record) {
 	e := w.log.Log().Int32("dest", r.Dest)
 	switch r.Kind {
 	case telemetry.Taken:
-		e = e.Bool("again", r.Again).Bool("restored", r.Restored)
+		e = e.Str("trace", r.Text).Bool("again", r.Again).Bool("restored", r.Restored)
 	case telemetry.Refused, telemetry.Holds:
 		e = e.Stringer("cause", r.Cause)
 	case telemetry.Began:
@@ -62,6 +62,19 @@
 	e.Uint64("num", r.Num).Str("record", r.Kind.String()).Send()
 }
 
+// closed tells of a connection to an endpoint that was closed. It is called on the connection's goroutine. What an
+// endpoint sent unasked is always worth a line; all else is one of the records.
+func (w *observer) closed(c outbound.Closing) {
+	e := w.log.Log()
+	switch {
+	case c.Reason == outbound.CloseUnsolicited:
+		e = w.log.Warn()
+	case !w.lines:
+		return
+	}
+	e.Uint32("endpoint", c.Endpoint).Str("addr", c.Addr).Stringer("reason", c.Reason).Int("answers", c.Answers).Str("record", "closed").Send()
+}
+
 func parent(v []byte) *telemetry.Parent {
 	if len(v) == 0 {
 		return nil
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -250,7 +250,8 @@
 		Trouble: func(endpoint uint32, addr string, err error) {
 			o.Log.Warn().Uint32("endpoint", endpoint).Str("addr", addr).Err(err).Msg("partner: no connection")
 		},
-		Done: func(c *outbound.Call, events []policy.Event) { s.in <- input{call: c, events: events} },
+		Closed: s.observer.closed,
+		Done:   func(c *outbound.Call, events []policy.Event) { s.in <- input{call: c, events: events} },
 	})
 	s.tick()
 	s.remember(o.Memory)
