--- a/test.sh
+++ b/test.sh
@@ -35,8 +35,33 @@
 fi
 go vet ./...
 go tool staticcheck ./...
+# Tests that fail for a real fault which is not fixed yet stand in KNOWN-RED.txt, one a line, after the package and
+# between bars: command and seed, what was seen, issue. Exactly these are passed over, and printed; an entry that names
+# no test is an error.
+known_red() { # the names of a package's tests that are known to fail, joined by |
+	[ ! -f KNOWN-RED.txt ] || awk -v package="$1" '!/^#/ && $1 == package { print $2 }' KNOWN-RED.txt | paste -sd'|' -
+}
+run_tests() { # of the packages named
+	local plain=() red
+	for package in "${@}"; do
+		red=$(known_red "$package")
+		if [ -z "$red" ]; then
+			plain+=("$package")
+			continue
+		fi
+		for name in ${red//|/ }; do
+			if ! go test -list "^$name\$" "$package" | grep -qx "$name"; then
+				echo "KNOWN-RED.txt: $package has no test $name" >&2
+				exit 1
+			fi
+			echo "known red, passed over: $package $name"
+		done
+		go test -race -count=1 -skip "^($red)\$" "$package"
+	done
+	[ ${#plain[@]} = 0 ] || go test -race -count=1 "${plain[@]}"
+}
 # The small scale run times what a fleet of processes does: it runs when the other tests are over.
 others=$(go list ./... | grep -v '^sliptide/internal/lab/scale$')
 # shellcheck disable=SC2086
-go test -race -count=1 $others
-go test -race -count=1 ./internal/lab/scale
+run_tests $others
+run_tests sliptide/internal/lab/scale
