Outbound: an answer counts only for a call that it can belong to

Callers saw messages that were taken on and neither delivered nor ended, and messages with two attempts out at once. Cause: HTTP/1.1 matches answers to requests by order alone. A second copy of an answer that arrives after the next request on a kept connection ended that request's call; its own answer then ended the call after it, and so on. Idle connections were looked at only when one was chosen, which misses a copy that arrives a moment later. Class: answers out of step with requests on a kept connection. Change, in matching.go: a kept connection rests for a quarter of its endpoint's usual answer time (100 ms at most) and is looked at again right before the request is written; a 200 that comes in under a quarter of the usual time on a kept connection is an error that may have run, and ends the connection before it is reported; an answer to several messages has to name them; a connection whose answer was no 200 is not kept, so that no copy of a refusal can end a later call; an endpoint that sent what nobody asked for gets one call a connection for a minute; a repeat of a message that may have run goes out on a new connection, since its partner answers it at once. HTTP/2 streams carry their own numbers. Why it works: a copy arrives either while nothing is out (seen, and the endpoint is distrusted) or sooner than the endpoint can answer; the connection is closed before any further attempt begins. Left: partners that answer within 20 ms can't be told by time; for them only the other guards hold.

--- a/internal/outbound/answer.go
+++ b/internal/outbound/answer.go
@@ -85,8 +85,8 @@
 }
 
 // each reads the end of each message from the answer to a bulk call. One that
-// the answer does not name may have run.
-func each(parser *fastjson.Parser, c *Call, body []byte, all answer) []policy.Event {
+// the answer does not name may have run; whole is false then.
+func each(parser *fastjson.Parser, c *Call, body []byte, all answer) (events []policy.Event, whole bool) {
 	ends := make(map[string]answer, len(c.Items))
 	if v, err := parser.ParseBytes(body); err == nil {
 		for _, item := range v.GetArray() {
@@ -97,15 +97,15 @@
 		}
 	}
 	unnamed := answer{outcome: policy.Error, wait: all.wait, report: all.report}
-	events := make([]policy.Event, 0, len(c.Items))
+	events, whole = make([]policy.Event, 0, len(c.Items)), true
 	for i := range c.Items {
 		a, ok := ends[c.Items[i].Trace]
 		if !ok {
-			a = unnamed
+			a, whole = unnamed, false
 		}
 		events = append(events, c.event(i, a))
 	}
-	return events
+	return events, whole
 }
 
 // events gives all messages of a call the same end.
--- a/internal/outbound/call.go
+++ b/internal/outbound/call.go
@@ -38,6 +38,9 @@
 	// Until is the latest moment at which the request may be written; zero: no bound but the time-out. Guards
 	// against a repeat that waits for its connection, and arrives when the partner has forgotten the first.
 	Until time.Time
+	// Fresh asks for a new connection over HTTP/1.1. An endpoint answers a message that it knows at once, as a copy of
+	// an earlier answer would come.
+	Fresh bool
 
 	state atomic.Int32
 
--- a/internal/outbound/closing.go
+++ b/internal/outbound/closing.go
@@ -16,12 +16,16 @@
 	CloseSpoilt                         // an answer could not be read
 	CloseAsked                          // an answer said that it closes
 	CloseGivenUp                        // its call was given up
+	CloseMismatch                       // an answer can't be that to the call that was out
+	CloseRefused                        // an answer was no 200
+	CloseDistrusted                     // its endpoint has answered out of turn lately
 )
 
 var closeReasons = [...]string{
 	CloseIdle: "idle", CloseEvicted: "evicted", CloseHungUp: "hung up", CloseReplaced: "replaced", ClosePeer: "closed by the endpoint",
 	CloseUnsolicited: "unsolicited bytes", CloseWrite: "request not written", CloseBroken: "broken", CloseSpoilt: "answer that cannot be read",
 	CloseAsked: "asked to close", CloseGivenUp: "call given up",
+	CloseMismatch: "answer of another call", CloseRefused: "answer other than 200", CloseDistrusted: "endpoint answers out of turn",
 }
 
 // String names the reason in the log.
--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"net"
+	"net/http"
 	"os"
 	"syscall"
 	"time"
@@ -32,6 +33,8 @@
 	rd       *http1.Reader
 	calls    chan *Call // closed to end the goroutine
 	usedAt   time.Time
+	freeAt   time.Time   // when it has rested after its last answer
+	begunAt  time.Time   // when the last answer began to arrive
 	answers  int         // whole answers that it has carried
 	reason   CloseReason // why calls was closed; written before that, under the pool's lock
 	wbuf     []byte
@@ -138,6 +141,10 @@
 // serve makes one call and reports whether the connection can take another, for
 // which it is parked then.
 func (k *conn) serve(c *Call) bool {
+	if k.answers > 0 && !k.stillQuiet() {
+		k.pool.single(c, k.partner)
+		return false
+	}
 	deadline := c.SentAt.Add(c.Timeout)
 	k.nc.SetDeadline(deadline)
 	k.wbuf = c.append(k.wbuf[:0])
@@ -167,10 +174,22 @@
 		}
 		return false
 	}
+	written := time.Now()
 	m, err := k.response(deadline)
+	took := k.begunAt.Sub(written)
 	given := c.off()
-	reason, more := k.afterAnswer(m, err, given)
-	events := k.read(c, m, err)
+	if m.Status == http.StatusOK && k.mismatched(c, took) {
+		k.nc.Close()
+		k.pool.distrust(k.endpoint, suspectFor)
+		k.closed(CloseMismatch)
+		k.pool.end(c, policy.Error) // it may have run: its own answer is still to come
+		return false
+	}
+	events, whole := k.read(c, m, err)
+	reason, more := k.afterAnswer(c, m, err, given, whole)
+	if more && c.firstAttempt() {
+		k.pool.learn(k.endpoint, took)
+	}
 	// Both before it is reported: a further attempt must not find this one open, and a call
 	// that the outcome sets free must find this connection, or it opens a new one.
 	if more {
@@ -183,8 +202,25 @@
 	return more
 }
 
-// afterAnswer reports whether the connection can take a further call, and if not, why it is closed.
-func (k *conn) afterAnswer(m *http1.Message, err error, given bool) (reason CloseReason, more bool) {
+// stillQuiet looks at a kept connection once more, right before a request is written to it, and closes one that is not
+// as it was when the call was given to it.
+func (k *conn) stillQuiet() bool {
+	reason := ClosePeer
+	switch look(k.nc) {
+	case quiet:
+		return true
+	case unsolicited:
+		reason = CloseUnsolicited
+		k.pool.distrust(k.endpoint, distrustFor)
+	}
+	k.nc.Close()
+	k.closed(reason)
+	return false
+}
+
+// afterAnswer reports whether the connection can take a further call, and if not, why it is closed. whole: an answer to
+// several messages has named each of them.
+func (k *conn) afterAnswer(c *Call, m *http1.Message, err error, given, whole bool) (reason CloseReason, more bool) {
 	switch {
 	case given:
 		return CloseGivenUp, false
@@ -198,7 +234,15 @@
 	case m.Close:
 		return CloseAsked, false
 	case k.rd.Buffered():
+		k.pool.distrust(k.endpoint, distrustFor)
 		return CloseUnsolicited, false
+	case !whole:
+		k.pool.distrust(k.endpoint, suspectFor)
+		return CloseMismatch, false
+	case m.Status != http.StatusOK: // a copy of it could not be told from the next call's answer by its time
+		return CloseRefused, false
+	case k.pool.distrusted(k.endpoint):
+		return CloseDistrusted, false
 	}
 	return 0, true
 }
@@ -210,7 +254,8 @@
 		if err := k.rd.Wait(); err != nil {
 			return &http1.Message{}, err
 		}
-		if rest := time.Now().Add(restWithin); rest.Before(deadline) {
+		k.begunAt = time.Now()
+		if rest := k.begunAt.Add(restWithin); rest.Before(deadline) {
 			k.nc.SetReadDeadline(rest)
 		}
 		m, err := k.rd.Response()
@@ -226,10 +271,11 @@
 
 var errSpoilt = errors.New("answer that cannot be read")
 
-// read turns an answer, or the lack of one, into the call's events.
-func (k *conn) read(c *Call, m *http1.Message, err error) []policy.Event {
+// read turns an answer, or the lack of one, into the call's events. whole is false where an answer to several messages
+// leaves some out.
+func (k *conn) read(c *Call, m *http1.Message, err error) (events []policy.Event, whole bool) {
 	single := len(c.Items) <= 1
-	if err != nil && !(single && m.Status == 200) {
+	if err != nil && !(single && m.Status == http.StatusOK) {
 		o := policy.Reset
 		switch {
 		case errors.Is(err, os.ErrDeadlineExceeded), c.Given():
@@ -237,12 +283,12 @@
 		case errors.Is(err, errSpoilt):
 			o = policy.Error // the endpoint and the connection were there: neither a break nor silence
 		}
-		return c.events(answer{outcome: o})
+		return c.events(answer{outcome: o}), true
 	}
 	get := func(name string) string { return string(m.Headers.Get(name)) }
 	a := k.pool.answer(m.Status, get, single)
-	if single || m.Status != 200 {
-		return c.events(a)
+	if single || m.Status != http.StatusOK {
+		return c.events(a), true
 	}
 	return each(&k.parser, c, m.Body, a)
 }
--- /dev/null
+++ b/internal/outbound/matching.go
@@ -0,0 +1,117 @@
+package outbound
+
+import "time"
+
+// HTTP/1.1 does not say which request an answer belongs to: answers count by their order alone. An endpoint, or
+// something on the way to it, that writes one answer twice shifts all later ones on that connection by one. A
+// connection is therefore kept only while every answer fits the call that it ended.
+
+const (
+	// earlyShare is the part of an endpoint's usual answer time before which a 200 on a kept connection is taken for
+	// a copy of an earlier one.
+	earlyShare = 0.25
+	// settleShare is the part of the usual answer time, settleMax at most, that a connection rests after an answer:
+	// a copy that follows the answer arrives while no request is out.
+	settleShare = 0.25
+	settleMax   = 100 * time.Millisecond
+	// The usual answer time follows faster answers sooner than slower ones: it stands for the fast ones.
+	usualGainDown = 0.3
+	usualGainUp   = 0.05
+	// usualLeast is the usual answer time under which nothing can be told by time: a busy machine's noise is as long.
+	usualLeast = 20 * time.Millisecond
+	// distrustFor is how long each connection to an endpoint carries one call only after it has sent what nobody
+	// asked for; suspectFor, after an answer that came too early.
+	distrustFor = time.Minute
+	suspectFor  = 5 * time.Second
+)
+
+// manners is what is known of how an endpoint answers. The zero value is that of one of which nothing is known.
+type manners struct {
+	usual           time.Duration // from the last byte of a request to the first of its 200
+	distrustedUntil time.Time
+}
+
+// learn takes the time that a 200 took to a message's first attempt. An endpoint that knows a repeated message
+// answers it at once, which says nothing of its pace.
+func (m *manners) learn(took time.Duration) {
+	gain := usualGainUp
+	switch {
+	case m.usual == 0:
+		gain = 1
+	case took < m.usual:
+		gain = usualGainDown
+	}
+	m.usual += time.Duration(gain * float64(took-m.usual))
+}
+
+// early reports whether a 200 that took so long on a kept connection must be taken for a copy of an earlier one.
+func (m *manners) early(took time.Duration) bool {
+	return m.usual >= usualLeast && float64(took) < earlyShare*float64(m.usual)
+}
+
+// settle is how long a connection rests after an answer.
+func (m *manners) settle() time.Duration {
+	if m.usual < usualLeast {
+		return 0
+	}
+	return min(time.Duration(settleShare*float64(m.usual)), settleMax)
+}
+
+// distrust lets connections carry one call only for so long.
+func (m *manners) distrust(now time.Time, span time.Duration) {
+	if until := now.Add(span); until.After(m.distrustedUntil) {
+		m.distrustedUntil = until
+	}
+}
+
+// mannersOf is what is known of an endpoint. The lock is held.
+func (p *Pool) mannersOf(endpoint uint32) *manners {
+	known := p.manners[endpoint]
+	if known == nil {
+		known = &manners{}
+		p.manners[endpoint] = known
+	}
+	return known
+}
+
+// learn takes the time of a 200 that fits its call.
+func (p *Pool) learn(endpoint uint32, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mannersOf(endpoint).learn(took)
+}
+
+// distrust lets connections to an endpoint carry one call only for so long.
+func (p *Pool) distrust(endpoint uint32, span time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mannersOf(endpoint).distrust(time.Now(), span)
+}
+
+// distrusted reports whether connections to an endpoint carry one call only.
+func (p *Pool) distrusted(endpoint uint32) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Now().Before(p.mannersOf(endpoint).distrustedUntil)
+}
+
+// firstAttempt reports whether no message of a call has been sent before.
+func (c *Call) firstAttempt() bool {
+	for i := range c.Items {
+		if c.Items[i].Attempt > 0 {
+			return false
+		}
+	}
+	return len(c.Items) > 0
+}
+
+// mismatched reports whether a 200 can't be the answer to a call: it came too early, on a connection that has carried
+// another. An answer to several messages names them, and is judged by that.
+func (k *conn) mismatched(c *Call, took time.Duration) bool {
+	if k.answers == 0 || len(c.Items) != 1 {
+		return false
+	}
+	k.pool.mu.Lock()
+	defer k.pool.mu.Unlock()
+	return k.pool.mannersOf(k.endpoint).early(took)
+}
--- a/internal/outbound/mux.go
+++ b/internal/outbound/mux.go
@@ -353,7 +353,8 @@
 		return
 	}
 	var parser fastjson.Parser
-	m.pool.opt.Done(c, each(&parser, c, r.Body, a))
+	events, _ := each(&parser, c, r.Body, a) // a stream carries the answer to its own request alone
+	m.pool.opt.Done(c, events)
 }
 
 // hold keeps back what waits for a stream when a wait is told. The stream that told it is free at once, and
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -41,12 +41,14 @@
 	open int
 	mux  map[uint32]*mux // by endpoint
 	told map[uint32]time.Time
-	pace map[int]*dialPace // by destination, of those whose connections are paced
+	// manners is how endpoints answer over HTTP/1.1.
+	manners map[uint32]*manners
+	pace    map[int]*dialPace // by destination, of those whose connections are paced
 }
 
 // NewPool returns a Pool without connections.
 func NewPool(opt Options) *Pool {
-	return &Pool{opt: opt, idle: map[uint32][]*conn{}, mux: map[uint32]*mux{}, told: map[uint32]time.Time{}, pace: map[int]*dialPace{}}
+	return &Pool{opt: opt, idle: map[uint32][]*conn{}, mux: map[uint32]*mux{}, told: map[uint32]time.Time{}, manners: map[uint32]*manners{}, pace: map[int]*dialPace{}}
 }
 
 // Go starts a call on an idle connection or a new one. It does not block.
@@ -133,13 +135,22 @@
 	}
 }
 
-// onIdle gives a call to a connection that stands idle, if there is one.
+// onIdle gives a call to a connection that stands idle, if there is one. A call that has to be believed goes out on a
+// new one, where no earlier answer can be taken for its own.
 func (p *Pool) onIdle(c *Call, partner *Partner) bool {
+	if c.Fresh {
+		return false
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for list := p.idle[c.Endpoint]; len(list) > 0; list = p.idle[c.Endpoint] {
-		k := list[len(list)-1]
-		p.idle[c.Endpoint] = list[:len(list)-1]
+	now := time.Now()
+	for i := len(p.idle[c.Endpoint]) - 1; i >= 0; i-- {
+		list := p.idle[c.Endpoint]
+		k := list[i]
+		if now.Before(k.freeAt) {
+			continue
+		}
+		p.idle[c.Endpoint] = append(list[:i:i], list[i+1:]...)
 		// An idle connection that its endpoint has closed (a crash, a restart) would turn a
 		// call that never ran into a reset, which may have run.
 		reason, usable := p.usable(k, c, partner)
@@ -164,8 +175,12 @@
 	case ended:
 		return ClosePeer, false
 	case unsolicited:
+		p.mannersOf(k.endpoint).distrust(time.Now(), distrustFor)
 		return CloseUnsolicited, false
 	}
+	if time.Now().Before(p.mannersOf(k.endpoint).distrustedUntil) {
+		return CloseDistrusted, false
+	}
 	return 0, true
 }
 
@@ -227,6 +242,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	k.usedAt = time.Now()
+	k.freeAt = k.usedAt.Add(p.mannersOf(k.endpoint).settle())
 	p.idle[k.endpoint] = append(p.idle[k.endpoint], k)
 }
 
