Discovery: a repeated answer ends no later notice and delays no later list

A copy of a 204 would end the next notices, which then never arrive: the message is lost. A copy of a list would be read as the answer to the next watch, and each later change would come one watch (3 s) late, past the 500 ms within which calls to a draining endpoint have to stop. Change: each call with notices has a connection of its own; a kept connection to the agent is looked at before it is used again, and is not kept after a refusal; an answer to a watch that has no news, and comes before half of the watch's time, is taken for a copy: the watch goes on, on a new connection. Looking at an idle connection is a package of its own, sockets, since outbound does the same.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sliptide/internal/http1"
+	"sliptide/internal/sockets"
 )
 
 const dialTimeout = time.Second
@@ -70,12 +71,12 @@
 	if moved {
 		return nil, errMoved
 	}
-	if host != c.at {
+	if host != c.at || c.nc != nil && sockets.Look(c.nc) != sockets.Quiet {
 		c.close()
 		c.at = host
 	}
 	m, err := c.try(ctx, request, timeout)
-	if err != nil || m.Close {
+	if err != nil || m.Close || m.Status/100 != 2 { // a copy of a refusal would be taken for the next answer
 		c.close()
 	}
 	return m, err
@@ -102,7 +103,9 @@
 	if _, err := nc.Write(request); err != nil {
 		return nil, err
 	}
-	return c.rd.Response()
+	m, err := c.rd.Response()
+	nc.SetDeadline(time.Time{}) // an idle connection is looked at
+	return m, err
 }
 
 func (c *client) close() {
--- a/internal/discovery/notices.go
+++ b/internal/discovery/notices.go
@@ -113,6 +113,7 @@
 	host := n.agent.host()
 	request := http1.AppendRequest(nil, "POST", "/v1/outcomes", host)
 	m, err := n.agent.do(ctx, host, http1.AppendBody(request, body), noticeTimeout)
+	n.agent.close() // on a kept connection a copy of this answer could be taken for that to the next notices
 	if err != nil {
 		return err
 	}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -20,6 +20,9 @@
 	watchFor    = 3 * time.Second // a watch is held so long: short, so that two asks that fall silent are noticed in time
 	watchGrace  = 500 * time.Millisecond
 	listTimeout = time.Second
+	// repeatedPause keeps an agent that repeats its answers from being asked without end, inside the time within which a
+	// watch has to go on.
+	repeatedPause = 50 * time.Millisecond
 )
 
 // MaxEndpoints is how many endpoints are known at most, over the life of a process; further ones are passed over.
@@ -147,6 +150,7 @@
 		timeout = watchFor + watchGrace
 	}
 	request := append(http1.AppendRequest(nil, "GET", path, host), "\r\n"...)
+	asked := time.Now()
 	m, err := w.agent.do(ctx, host, request, timeout)
 	if errors.Is(err, http1.ErrTooLarge) {
 		err = errListTooLong
@@ -158,23 +162,53 @@
 	if m.Status != 200 { // turned away with nothing told: what it held last still goes for both sides
 		return fmt.Errorf("discovery answers %d", m.Status)
 	}
-	if err := w.read(m.Body); err != nil {
+	watched, from := w.synced, w.version
+	list, err := w.parse(m.Body)
+	if err != nil {
 		w.synced = false
 		return err
 	}
+	if watched && repeated(&list, from, time.Since(asked)) {
+		w.Log.Warn().Uint64("version", list.Version).Msg("discovery repeats an answer: asking on a new connection")
+		w.agent.close()
+		if list.Full { // of a version that is in force, so that nothing changes by it
+			w.take(list)
+		}
+		pause(ctx, repeatedPause)
+		return nil
+	}
+	w.take(list)
 	w.synced, w.of = true, host
 	return nil
 }
 
+// repeated reports whether the answer to a watch from a version can't be its own, but is a copy of an earlier one:
+// there is no news in it, and the watch's time was not over. All later answers of that connection would come one late.
+func repeated(list *List, from uint64, took time.Duration) bool {
+	if list.Version > from {
+		return false
+	}
+	return list.Version < from && !list.Full || list.Version == from && took < watchFor/2
+}
+
 // read takes one list in discovery's form.
 func (w *Watch) read(text []byte) error {
+	list, err := w.parse(text)
+	if err == nil {
+		w.take(list)
+	}
+	return err
+}
+
+// parse reads one list in discovery's form.
+func (w *Watch) parse(text []byte) (List, error) {
 	v, err := w.parser.ParseBytes(text)
 	if err != nil {
-		return fmt.Errorf("list of endpoints: %w", err)
+		return List{}, fmt.Errorf("list of endpoints: %w", err)
 	}
 	servers := v.Get("servers")
 	if servers == nil || servers.Type() != fastjson.TypeArray {
-		return fmt.Errorf("list of endpoints: no servers")
+		return List{}, fmt.Errorf("list of endpoints: no servers")
 	}
 	list := List{Full: v.GetBool("full"), Version: v.GetUint64("version")}
 	for _, s := range servers.GetArray() {
@@ -182,14 +216,18 @@
 			list.Entries = append(list.Entries, e)
 		}
 	}
-	w.version = list.Version
 	if w.names && list.Full { // of a whole directory the parser would keep some kilobytes for each endpoint
 		w.parser = fastjson.Parser{}
 	}
+	return list, nil
+}
+
+// take makes a list the one in force.
+func (w *Watch) take(list List) {
+	w.version = list.Version
 	if list.Full || len(list.Entries) > 0 {
 		w.Update(list)
 	}
-	return nil
 }
 
 func (w *Watch) entry(s *fastjson.Value) (Endpoint, bool) {
--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -2,17 +2,16 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
 	"os"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fastjson"
 
 	"sliptide/internal/http1"
+	"sliptide/internal/sockets"
 	"sliptide/policy"
 )
 
@@ -41,42 +40,6 @@
 	parser   fastjson.Parser
 }
 
-// condition is what can be seen of a connection that carries no call.
-type condition uint8
-
-const (
-	quiet       condition = iota // open, and nothing has come
-	ended                        // the other side has closed it, or it is broken
-	unsolicited                  // the other side has sent what nobody asked for
-)
-
-// look tells the condition of a connection that carries no call. It reads nothing and does not wait.
-func look(nc net.Conn) condition {
-	if t, ok := nc.(*tls.Conn); ok {
-		nc = t.NetConn()
-	}
-	raw, err := nc.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return ended
-	}
-	seen := ended
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case errors.Is(err, syscall.EAGAIN):
-			seen = quiet
-		case err == nil && n > 0:
-			seen = unsolicited
-		}
-		return true
-	})
-	if err != nil {
-		return ended
-	}
-	return seen
-}
-
 // run dials for c and serves calls until the connection ends.
 func (k *conn) run(c *Call) {
 	defer func() {
@@ -206,10 +169,10 @@
 // as it was when the call was given to it.
 func (k *conn) stillQuiet() bool {
 	reason := ClosePeer
-	switch look(k.nc) {
-	case quiet:
+	switch sockets.Look(k.nc) {
+	case sockets.Quiet:
 		return true
-	case unsolicited:
+	case sockets.Unsolicited:
 		reason = CloseUnsolicited
 		k.pool.distrust(k.endpoint, distrustFor)
 	}
--- a/internal/outbound/matching_test.go
+++ b/internal/outbound/matching_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"sliptide/internal/sockets"
 	"sliptide/internal/standin"
 	"sliptide/policy"
 )
@@ -43,11 +44,11 @@
 }
 
 // kept returns the idle connection, once the partner's bytes have arrived where any are awaited.
-func (l *line) kept(want condition) *conn {
+func (l *line) kept(want sockets.Condition) *conn {
 	l.mu.Lock()
 	k := l.idle[1][0]
 	l.mu.Unlock()
-	for look(k.nc) != want {
+	for sockets.Look(k.nc) != want {
 		time.Sleep(time.Millisecond)
 	}
 	return k
@@ -67,7 +68,7 @@
 	c.Write(standin.OK)
 	<-l.ended
 	c.Write(standin.OK)
-	l.kept(unsolicited)
+	l.kept(sockets.Unsolicited)
 	for want := 2; want < 4; want++ {
 		if n := l.answered(standin.OK); n != want {
 			t.Errorf("on connection %d, want %d", n, want)
@@ -83,12 +84,12 @@
 	first := l.call("first")
 	first.Write(standin.OK)
 	<-l.ended
-	k := l.kept(quiet)
+	k := l.kept(sockets.Quiet)
 	if !l.unpark(k) {
 		t.Fatal("the connection is not idle")
 	}
 	first.Write(standin.OK)
-	for look(k.nc) != unsolicited {
+	for sockets.Look(k.nc) != sockets.Unsolicited {
 		time.Sleep(time.Millisecond)
 	}
 	k.calls <- &Call{Endpoint: 1, Addr: l.partner.Addr, SentAt: time.Now(), Timeout: 5 * time.Second, Items: []Item{{ID: 1, Trace: "second"}}}
@@ -121,7 +122,7 @@
 func TestRepeatInDoubtGoesOutOnANewConnection(t *testing.T) {
 	l := newLine(t)
 	l.answered(standin.OK)
-	l.kept(quiet)
+	l.kept(sockets.Quiet)
 	l.Go(&Call{Endpoint: 1, Addr: l.partner.Addr, SentAt: time.Now(), Timeout: 5 * time.Second, Fresh: true, Items: []Item{{ID: 1, Attempt: 1, Trace: "again"}}})
 	if c := <-l.partner.Calls; c.Conn != 2 {
 		t.Errorf("on connection %d", c.Conn)
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"sliptide/internal/sockets"
 	"sliptide/policy"
 )
 
@@ -171,10 +172,10 @@
 	case time.Since(k.usedAt) >= p.fresh():
 		return CloseIdle, false
 	}
-	switch look(k.nc) {
-	case ended:
+	switch sockets.Look(k.nc) {
+	case sockets.Ended:
 		return ClosePeer, false
-	case unsolicited:
+	case sockets.Unsolicited:
 		p.mannersOf(k.endpoint).distrust(time.Now(), distrustFor)
 		return CloseUnsolicited, false
 	}
@@ -236,7 +237,7 @@
 }
 
 // park puts k among the idle connections. The last call's deadline goes with it:
-// once it has passed, look would take the connection for dead.
+// once it has passed, Look would take the connection for dead.
 func (p *Pool) park(k *conn) {
 	k.nc.SetDeadline(time.Time{})
 	p.mu.Lock()
--- a/internal/standin/rawpartner.go
+++ b/internal/standin/rawpartner.go
@@ -25,8 +25,8 @@
 // Write writes bytes to the connection, whoever they answer.
 func (c *RawCall) Write(text string) { c.NC.Write([]byte(text)) }
 
-// Path is the request's path.
-func (c *RawCall) Path() string { return c.q.URL.Path }
+// URI is the request's path and query.
+func (c *RawCall) URI() string { return c.q.URL.RequestURI() }
 
 // RawPartner reads requests and leaves all that is written back to the test: answers out of turn, twice or not at all.
 type RawPartner struct {
