--- a/internal/fsys/faulty.go
+++ b/internal/fsys/faulty.go
@@ -109,3 +109,42 @@
 
 // SyncDir implements FS.
 func (f *Faulty) SyncDir() error { return f.do("syncdir", "", f.FS.SyncDir) }
+
+// Open implements Opener, where the FS does.
+func (f *Faulty) Open(name string, fresh bool) (File, error) {
+	var opened File
+	err := f.do("open", name, func() (err error) {
+		opened, err = f.FS.(Opener).Open(name, fresh)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &faultyFile{File: opened, fs: f, name: name}, nil
+}
+
+// faultyFile is a File whose operations are asked for one by one.
+type faultyFile struct {
+	File
+	fs   *Faulty
+	name string
+}
+
+// Write implements File.
+func (f *faultyFile) Write(data []byte) (int, error) {
+	fault := f.fs.next("append", f.name)
+	switch {
+	case fault.Err == nil:
+		return f.File.Write(data)
+	case fault.After:
+		n, _ := f.File.Write(data)
+		return n, fault.Err
+	}
+	n, _ := f.File.Write(data[:min(max(fault.Bytes, 0), len(data))])
+	return n, fault.Err
+}
+
+// Truncate implements File.
+func (f *faultyFile) Truncate(size int64) error {
+	return f.fs.do("truncate", f.name, func() error { return f.File.Truncate(size) })
+}
--- a/internal/fsys/fsys.go
+++ b/internal/fsys/fsys.go
@@ -32,6 +32,22 @@
 	SyncDir() error
 }
 
+// File is a file that is open to be added to at its end.
+type File interface {
+	// Write adds to the end of the file. After an error the file may end with any part of data.
+	Write(data []byte) (int, error)
+	// Truncate cuts the file to that many bytes.
+	Truncate(size int64) error
+	Close() error
+}
+
+// Opener is an FS that leaves a file open, for one that is added to often.
+type Opener interface {
+	FS
+	// Open opens a file to be added to, and creates it where there is none; fresh empties it.
+	Open(name string, fresh bool) (File, error)
+}
+
 // OS is the folder Dir of the operating system.
 type OS struct{ Dir string }
 
@@ -57,6 +73,15 @@
 	return errors.Join(err, f.Close())
 }
 
+// Open implements Opener.
+func (o OS) Open(name string, fresh bool) (File, error) {
+	how := os.O_WRONLY | os.O_CREATE | os.O_APPEND
+	if fresh {
+		how |= os.O_TRUNC
+	}
+	return os.OpenFile(o.path(name), how, 0o600)
+}
+
 // Append implements FS.
 func (o OS) Append(name string, data []byte, sync bool) error {
 	return o.put(name, os.O_APPEND, data, sync)
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -10,12 +10,14 @@
 	"fmt"
 	"hash/crc32"
 	"io"
-	"os"
-	"path/filepath"
+	"io/fs"
 	"slices"
 	"strings"
+	"time"
 
+	"sliptide/internal/fsys"
 	"sliptide/internal/statedir"
+	"sliptide/internal/transient"
 )
 
 // How a message that was not delivered ends.
@@ -85,11 +87,13 @@
 
 // Journal is an open journal.
 type Journal struct {
-	dir    string
+	files  fsys.Opener
 	name   string            // of the file
 	room   *statedir.Account // what all files may take
-	f      *os.File
-	size   int64 // of the file
+	f      fsys.File         // nil: a compaction has to come first
+	size   int64             // of what is whole in the file
+	torn   bool              // the file may hold more than size: it is cut before anything is added
+	merged []string          // files whose records this one has; they go before anything is added
 	buf    []byte
 	live   map[uint64]*Entry
 	tap    []byte // the records since the last Tapped, where they are wanted
@@ -99,6 +103,9 @@
 	next   uint64
 }
 
+// readFor is how long a file that can't be read is tried again at a start.
+const readFor = 10 * time.Second
+
 // Open replays the journal in dir and compacts it. It returns the live entries
 // in the order in which they were taken. A torn or damaged tail is left out: it
 // was never answered for.
@@ -106,36 +113,76 @@
 // A journal that a new version left beside it, and did not take over, is taken in too: first, since where
 // it did take over, the journal holds what came after.
 func Open(dir string, room *statedir.Account) (*Journal, []*Entry, error) {
-	j := &Journal{dir: dir, name: fileName, room: room, live: map[uint64]*Entry{}, next: 1}
-	// Copies that were not finished when the process died; the journals themselves are whole.
-	for _, name := range []string{fileName + copyEnd, heirName + copyEnd} {
-		if err := os.Remove(j.path(name)); err != nil && !errors.Is(err, os.ErrNotExist) {
-			return nil, nil, fmt.Errorf("journal: %w", err)
-		}
+	return OpenIn(fsys.OS{Dir: dir}, room)
+}
+
+// OpenIn is Open on the files of a folder. Where the folder can't be written to for a while, what it holds is returned
+// all the same, and the first Flush that succeeds makes up for it.
+func OpenIn(files fsys.Opener, room *statedir.Account) (*Journal, []*Entry, error) {
+	j := &Journal{files: files, name: fileName, room: room, live: map[uint64]*Entry{}, next: 1}
+	// Copies that were not finished when the process died; the journals themselves are whole. One that can't be removed
+	// is written over by the next compaction.
+	files.Remove(fileName + copyEnd)
+	files.Remove(heirName + copyEnd)
+	left, err := read(files, heirName)
+	if err != nil {
+		return nil, nil, err
 	}
-	var size int64
-	for _, name := range []string{heirName, fileName} {
-		text, err := os.ReadFile(j.path(name))
-		if err != nil && !errors.Is(err, os.ErrNotExist) {
-			return nil, nil, fmt.Errorf("journal: %w", err)
-		}
-		j.replay(text)
-		size += int64(len(text))
+	text, err := read(files, fileName)
+	if err != nil {
+		return nil, nil, err
 	}
+	j.replay(left)
+	j.replay(text)
 	for _, e := range j.live {
 		e.settle(true)
 	}
-	j.size = size
-	if err := j.compact(); err != nil {
-		return nil, nil, fmt.Errorf("journal: %w", err)
+	j.size = int64(len(left) + len(text))
+	if left != nil {
+		j.merged = []string{heirName}
 	}
-	if err := os.Remove(j.path(heirName)); err != nil && !errors.Is(err, os.ErrNotExist) {
+	err = j.compact()
+	switch {
+	case err == nil:
+	case !transient.Disk(err):
 		return nil, nil, fmt.Errorf("journal: %w", err)
+	case left == nil && j.f == nil:
+		j.goOn()
 	}
 	j.claim(0, 0)
 	return j, j.entries(), nil
 }
 
+// goOn opens the file as it is, to be added to. It is read once more: the compaction that failed may have replaced it all
+// the same. Where that fails too, a compaction has to come first.
+func (j *Journal) goOn() {
+	text, err := j.files.Read(j.name)
+	if err != nil {
+		return
+	}
+	f, err := j.files.Open(j.name, false)
+	if err != nil {
+		return
+	}
+	whole := (&Journal{live: map[uint64]*Entry{}}).replay(text)
+	j.f, j.size, j.torn = f, int64(whole), len(text) > whole
+}
+
+// read returns a file's bytes, nil if there is none.
+func read(files fsys.FS, name string) (text []byte, err error) {
+	err = transient.Retry(readFor, transient.Disk, func() error {
+		text, err = files.Read(name)
+		return err
+	})
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("journal: %s: %w", name, err)
+	}
+	return text, nil
+}
+
 // heirGap keeps the numbers of a new version's messages apart from those of the present one, which go on
 // while both run.
 const heirGap = 1 << 32
@@ -143,14 +190,15 @@
 // OpenHeir starts the journal of a new version that starts while the present one still works in dir: a
 // file of its own, empty, whose numbers lie above all that the present one's journal has used.
 func OpenHeir(dir string, room *statedir.Account) (*Journal, error) {
-	text, err := os.ReadFile(filepath.Join(dir, fileName))
-	if err != nil && !errors.Is(err, os.ErrNotExist) {
-		return nil, fmt.Errorf("journal: %w", err)
+	files := fsys.OS{Dir: dir}
+	text, err := read(files, fileName)
+	if err != nil {
+		return nil, err
 	}
 	seen := &Journal{live: map[uint64]*Entry{}, next: 1}
 	seen.replay(text)
-	j := &Journal{dir: dir, name: heirName, room: room, live: map[uint64]*Entry{}, next: seen.next + heirGap}
-	if err := j.compact(); err != nil {
+	j := &Journal{files: files, name: heirName, room: room, live: map[uint64]*Entry{}, next: seen.next + heirGap}
+	if err := j.compact(); err != nil && !transient.Disk(err) {
 		return nil, fmt.Errorf("journal: %w", err)
 	}
 	j.claim(0, 0)
@@ -158,36 +206,40 @@
 }
 
 // TakeOver makes the journal of a new version the journal, once the present one has left: what that one
-// held joins this file, which takes the journal's place. It returns the entries that joined, in order.
+// held joins this file, which takes the journal's place. It returns the entries that joined, in order. Where the folder
+// can't be written to for a while, nothing is noted until it can.
 func (j *Journal) TakeOver() ([]*Entry, error) {
 	if j.name == fileName {
 		return nil, nil
 	}
-	if err := j.Flush(); err != nil {
+	text, err := read(j.files, fileName)
+	if err != nil {
 		return nil, err
 	}
-	text, err := os.ReadFile(j.path(fileName))
-	if err != nil && !errors.Is(err, os.ErrNotExist) {
-		return nil, fmt.Errorf("journal: %w", err)
-	}
 	left := &Journal{live: map[uint64]*Entry{}, next: 1}
 	left.replay(text)
 	for _, e := range left.live {
 		e.settle(true)
 		j.live[e.Num] = e
 	}
-	j.name = fileName
+	j.name, j.merged = fileName, []string{heirName}
 	if err := j.compact(); err != nil { // the copy takes the old journal's place, whole
-		return nil, fmt.Errorf("journal: %w", err)
-	}
-	if err := os.Remove(j.path(heirName)); err != nil && !errors.Is(err, os.ErrNotExist) {
-		return nil, fmt.Errorf("journal: %w", err)
+		if !transient.Disk(err) {
+			return nil, fmt.Errorf("journal: %w", err)
+		}
+		j.drop()
 	}
 	j.claim(0, 0)
 	return left.entries(), nil
 }
 
-func (j *Journal) path(name string) string { return filepath.Join(j.dir, name) }
+// drop lets go of the file: a compaction has to come first.
+func (j *Journal) drop() {
+	if j.f != nil {
+		j.f.Close()
+		j.f = nil
+	}
+}
 
 func (j *Journal) entries() []*Entry {
 	list := make([]*Entry, 0, len(j.live))
@@ -433,29 +485,52 @@
 }
 
 // Flush writes what was noted since the last time. After an error all of it is
-// kept for the next try, and the file ends where it ended before.
+// kept for the next try, and the file ends where it ended before, if not at once, then before anything is added.
 func (j *Journal) Flush() error {
 	if len(j.buf) == 0 {
 		return nil
 	}
-	if !j.claim(0, 0) {
-		if err := j.compact(); err != nil {
-			return fmt.Errorf("journal: %w", err)
-		}
-		return nil // the copy holds all that was noted
+	if err := j.flush(); err != nil {
+		return fmt.Errorf("journal: %w", err)
+	}
+	return nil
+}
+
+func (j *Journal) flush() error {
+	if j.f == nil || !j.claim(0, 0) {
+		return j.compact() // the copy holds all that was noted
+	}
+	if err := j.mend(); err != nil {
+		return err
 	}
 	n, err := j.f.Write(j.buf)
 	if err != nil {
-		if n > 0 { // half a record would hide all that comes behind it
-			err = errors.Join(err, j.f.Truncate(j.size))
-		}
-		return fmt.Errorf("journal: %w", err)
+		j.torn = j.torn || n > 0 // half a record would hide all that comes behind it
+		return errors.Join(err, j.mend())
 	}
 	j.size += int64(n)
 	j.buf = j.buf[:0]
 	return nil
 }
 
+// mend makes the folder such that the file can be added to: it ends with a whole record, and no other file holds records
+// that it has.
+func (j *Journal) mend() error {
+	if j.torn {
+		if err := j.f.Truncate(j.size); err != nil {
+			return err
+		}
+		j.torn = false
+	}
+	for len(j.merged) > 0 {
+		if err := j.files.Remove(j.merged[0]); err != nil {
+			return err
+		}
+		j.merged = j.merged[1:]
+	}
+	return nil
+}
+
 // compact writes the live entries to a new file and puts it in the old one's place.
 func (j *Journal) compact() error {
 	var b []byte
@@ -468,25 +543,30 @@
 		b = frame(b, h.record)
 	}
 	copyName := j.name + copyEnd
-	f, err := os.OpenFile(j.path(copyName), os.O_WRONLY|os.O_CREATE|os.O_TRUNC|os.O_APPEND, 0o600)
+	f, err := j.files.Open(copyName, true)
 	if err != nil {
 		return err
 	}
 	if _, err := f.Write(b); err != nil {
-		return errors.Join(err, f.Close(), os.Remove(j.path(copyName)))
+		return errors.Join(err, f.Close(), j.files.Remove(copyName))
 	}
-	if err := os.Rename(j.path(copyName), j.path(j.name)); err != nil {
-		return errors.Join(err, f.Close())
+	if err := j.files.Rename(copyName, j.name); err != nil {
+		j.drop() // it may have been replaced all the same
+		return errors.Join(err, f.Close(), j.files.Remove(copyName))
 	}
-	if j.f != nil {
-		j.f.Close()
-	}
-	j.f, j.size, j.buf = f, int64(len(b)), j.buf[:0]
-	return nil
+	j.drop()
+	j.f, j.size, j.torn, j.buf = f, int64(len(b)), false, j.buf[:0]
+	return j.mend()
 }
 
 // Close writes what is left and closes the file.
-func (j *Journal) Close() error { return errors.Join(j.Flush(), j.f.Close()) }
+func (j *Journal) Close() error {
+	err := j.Flush()
+	if j.f != nil {
+		err = errors.Join(err, j.f.Close())
+	}
+	return err
+}
 
 // taken appends the whole entry as a record. The attempt that is out has a record of its own.
 func (e *Entry) taken(b []byte) []byte {
@@ -512,14 +592,14 @@
 	return b
 }
 
-// replay applies the records of text up to the first that is not whole.
-func (j *Journal) replay(text []byte) {
+// replay applies the records of text up to the first that is not whole, and returns how many bytes those are.
+func (j *Journal) replay(text []byte) (whole int) {
 	for {
-		n, err := j.replayOne(text)
+		n, err := j.replayOne(text[whole:])
 		if err != nil {
-			return
+			return whole
 		}
-		text = text[n:]
+		whole += int(n)
 	}
 }
 
--- /dev/null
+++ b/internal/sender/journal_test.go
@@ -0,0 +1,59 @@
+package sender
+
+import (
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"sliptide/internal/discovery"
+	"sliptide/internal/fsys"
+	"sliptide/internal/journal"
+	"sliptide/internal/standin"
+	"sliptide/internal/statedir"
+)
+
+// Guards against messages whose attempts are used up by a disk that fails, and against ends that wait for it.
+func TestFailingDiskUsesUpNoAttempts(t *testing.T) {
+	var down atomic.Bool
+	files := &fsys.Faulty{FS: fsys.OS{Dir: t.TempDir()}, On: func(int, string, string) (f fsys.Fault) {
+		if down.Load() {
+			f.Err = syscall.ENOSPC
+		}
+		return f
+	}}
+	j, restored, err := journal.OpenIn(files, statedir.NewSpace(1<<20).Account())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { j.Close() })
+	b := &bench{t: t, journal: j, notices: make(chan discovery.Notice, 100)}
+	b.Sender = New(Options{Settings: benchSettings(), Seed: 1, Sockets: 10, Journal: j, Restored: restored, Clock: NewClock(), Log: zerolog.Nop(),
+		Notices: func(n discovery.Notice) { b.notices <- n }})
+	partner := standin.NewRawPartner(t)
+	b.dests[3] = true
+	b.next()
+	long, short := b.hand("long", 1, 15*time.Second), b.hand("short", 1, 400*time.Millisecond)
+	b.next()
+	if !(<-long).Taken || !(<-short).Taken {
+		t.Fatal("not taken on")
+	}
+	down.Store(true)
+	b.list(partner.Addr)
+	b.await("the short message ends by a notice", func() bool { return len(b.notices) > 0 })
+	if v := <-b.hand("more", 1, 10*time.Second); v.Taken {
+		t.Error("taken on without a journal")
+	}
+	for _, m := range b.msgs {
+		if m.Trace != "long" || m.Attempts > 1 {
+			t.Errorf("%s has had %d attempts, none of which began", m.Trace, m.Attempts)
+		}
+	}
+	if len(partner.Calls) > 0 {
+		t.Error("a call went out that is in no journal")
+	}
+	down.Store(false)
+	b.await("the long message is sent", func() bool { return len(partner.Calls) > 0 })
+}
--- a/internal/sender/orders.go
+++ b/internal/sender/orders.go
@@ -59,7 +59,7 @@
 		s.observeRefused(m.Dest, telemetry.CauseRoute)
 		o.verdict <- Verdict{NoRoute: true, RetryAfter: s.busyRetry()}
 		return
-	case !s.stopAt.IsZero(), left <= 0, s.copyRefuses(), s.set.MaxHeld > 0 && len(s.msgs) >= s.set.MaxHeld, !s.journal.Room(len(m.Body)):
+	case !s.stopAt.IsZero(), s.halted, left <= 0, s.copyRefuses(), s.set.MaxHeld > 0 && len(s.msgs) >= s.set.MaxHeld, !s.journal.Room(len(m.Body)):
 		s.guard.Arrived(s.now, m.Dest, keyHash(m.Key), m.Again)
 		s.observeRefused(m.Dest, s.whyNot())
 		o.verdict <- Verdict{RetryAfter: s.comeBack(m.Dest, m.Key, max(left, 0), s.busyRetry()), Short: s.copyRefuses()}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -30,6 +30,8 @@
 	pastMost  = 8192                    // ids of these, at most
 	dialMost  = 500.0                   // milliseconds that a connection may take to come up
 	lateLeast = 1000.0                  // retry-after where there is no room, in milliseconds
+
+	journalRetry = 20 * time.Millisecond // between two tries to write the journal
 )
 
 // MaxDestinations is how many destinations a sender knows at most; a message for a further one is refused.
@@ -197,6 +199,7 @@
 	orders  []*taking
 	sends   []*outbound.Call // of this step
 	again   bool             // events are left for a further step
+	halted  bool             // the journal can't be written: nothing is taken on or sent
 	timer   *time.Timer
 	timerAt float64
 	token   uint32
@@ -410,9 +413,7 @@
 		s.act(&s.actions[i])
 	}
 	err := s.journal.Flush()
-	if err != nil {
-		s.log.Error().Err(err).Msg("nothing is taken on or sent in this step")
-	}
+	s.noteJournal(err)
 	if s.copies != nil && err == nil {
 		s.copyWait(s.copyOut())
 		s.copyTell()
@@ -424,6 +425,22 @@
 	s.arm()
 }
 
+// noteJournal takes the result of writing the journal. While it can't be written, the module begins no attempt, which
+// would count though it never ran; it goes on with the final answers of messages whose time is up.
+func (s *Sender) noteJournal(err error) {
+	if s.halted == (err != nil) {
+		return
+	}
+	s.halted = err != nil
+	s.mod.Halt(s.halted)
+	if s.halted {
+		s.log.Error().Err(err).Msg("the journal can't be written: nothing is taken on or sent")
+		return
+	}
+	s.log.Info().Msg("the journal is written again")
+	s.again = true // what waits may go out
+}
+
 func (s *Sender) act(a *policy.Action) {
 	switch a.Kind {
 	case policy.ActSend:
@@ -450,6 +467,9 @@
 	if s.token != 0 {
 		wait = millis(s.timerAt - s.clock.Now())
 	}
+	if s.halted {
+		wait = min(wait, journalRetry)
+	}
 	for c := range s.calls {
 		for i := range c.Items {
 			if m := s.msgs[c.Items[i].ID]; len(c.Items) > 1 && m != nil && m.call == c {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -359,6 +359,9 @@
 func (s *Sender) pass() float64 {
 	next := math.Inf(1)
 	ready := s.stillWaiting()
+	if s.halted {
+		ready = nil
+	}
 	s.doubtful = 0
 	for _, c := range s.calls {
 		if s.suspect(c.ep) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -229,6 +229,7 @@
 	stale    float64 // share of calls on idle connections that fail (EWMA)
 	staleGap float64 // shortest idle time of those that failed
 	held     int
+	halted   bool    // no attempt may begin
 	calls    []*call // out
 	doubtful int     // slots that suspect endpoints hold
 	busy     int     // slots
