Outbound: a fault of this side for a moment is no failed attempt

A listener that can't accept is reported once a second in place of 200 times. Measured: TestMomentaryFaultOfThisSideIsNoFailedAttempt, six errors, fails on the code before (one try, connect failed) and passes; outbound and intake pass with -race.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -22,25 +22,26 @@
 )
 
 const (
-	idleFor     = 30 * time.Second        // a connection between requests
-	idleLeast   = 2 * time.Second         // one may be closed for want of room after this
-	onceLeast   = 20 * time.Millisecond   // or this, if it has not handed in two messages
-	readLeast   = 100 * time.Millisecond  // a request that takes so long to arrive gives its place up: clients write it whole
-	firstFor    = 2 * time.Second         // a new one says nothing for so long
-	firstLeast  = 100 * time.Millisecond  // and may be closed for want of room after this: clients write at once
-	firstWhole  = 2500 * time.Millisecond // its first request is there by then; an answer is owed within 3 s
-	readFor     = 2 * time.Second         // a later request, from its first byte
-	writeFor    = time.Second             // an answer
-	lastLook    = 10 * time.Millisecond
-	lingerFor   = time.Second            // what a client still sends is read so long after the half-close,
-	lingerShort = 50 * time.Millisecond  // or this, where its place is needed,
-	lingerMost  = 256 << 10              // and no more bytes of it
-	patience    = 400 * time.Millisecond // how long a client waits for its answer
-	acceptPause = 5 * time.Millisecond
-	headroom    = 16                     // places that are kept free where there are many
-	awayEvery   = 50 * time.Millisecond  // while clients are sent away, connections are looked at so often;
-	awaySilent  = 200 * time.Millisecond // a new one that says nothing for so long is closed,
-	awayReading = time.Second            // and one whose request has not come whole in so long
+	idleFor      = 30 * time.Second        // a connection between requests
+	idleLeast    = 2 * time.Second         // one may be closed for want of room after this
+	onceLeast    = 20 * time.Millisecond   // or this, if it has not handed in two messages
+	readLeast    = 100 * time.Millisecond  // a request that takes so long to arrive gives its place up: clients write it whole
+	firstFor     = 2 * time.Second         // a new one says nothing for so long
+	firstLeast   = 100 * time.Millisecond  // and may be closed for want of room after this: clients write at once
+	firstWhole   = 2500 * time.Millisecond // its first request is there by then; an answer is owed within 3 s
+	readFor      = 2 * time.Second         // a later request, from its first byte
+	writeFor     = time.Second             // an answer
+	lastLook     = 10 * time.Millisecond
+	lingerFor    = time.Second            // what a client still sends is read so long after the half-close,
+	lingerShort  = 50 * time.Millisecond  // or this, where its place is needed,
+	lingerMost   = 256 << 10              // and no more bytes of it
+	patience     = 400 * time.Millisecond // how long a client waits for its answer
+	acceptPause  = 5 * time.Millisecond
+	acceptReport = time.Second            // between two lines on connections that can't be accepted
+	headroom     = 16                     // places that are kept free where there are many
+	awayEvery    = 50 * time.Millisecond  // while clients are sent away, connections are looked at so often;
+	awaySilent   = 200 * time.Millisecond // a new one that says nothing for so long is closed,
+	awayReading  = time.Second            // and one whose request has not come whole in so long
 )
 
 // Server accepts clients' connections.
@@ -153,6 +154,7 @@
 func (s *Server) Serve(ln net.Listener) {
 	s.loop(1)
 	defer s.loop(-1)
+	var reported time.Time
 	for {
 		s.makeRoom()
 		nc, err := ln.Accept()
@@ -161,7 +163,10 @@
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
-			s.log.Warn().Err(err).Msg("accept")
+			if time.Since(reported) >= acceptReport {
+				reported = time.Now()
+				s.log.Warn().Err(err).Msg("accept")
+			}
 			time.Sleep(acceptPause) // out of descriptors: some will be free again
 			continue
 		}
--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -86,7 +86,7 @@
 		one.HTTP2 = false
 		partner = &one
 	}
-	nc, _, err := partner.Dial(ctx, k.addr)
+	nc, _, err := k.pool.dial(ctx, partner, k.addr, func() bool { return c.state.Load() == waiting })
 	if err != nil && k.pool.withheld(c) { // its own bound came first: that says nothing of the endpoint
 		return false
 	}
--- /dev/null
+++ b/internal/outbound/dial_test.go
@@ -0,0 +1,42 @@
+package outbound
+
+import (
+	"context"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"sliptide/internal/standin"
+	"sliptide/policy"
+)
+
+// Guards against an attempt, and a mark against its endpoint, for a connection that failed on this side for a moment.
+func TestMomentaryFaultOfThisSideIsNoFailedAttempt(t *testing.T) {
+	partner := standin.NewRawPartner(t)
+	for _, errno := range []syscall.Errno{syscall.EADDRNOTAVAIL, syscall.ENFILE, syscall.EMFILE, syscall.ENOBUFS, syscall.ENETUNREACH, syscall.EINTR} {
+		t.Run(errno.Error(), func(t *testing.T) {
+			tries := 0
+			ended := make(chan []policy.Event, 1)
+			p := NewPool(Options{MaxConns: 4, KeepAlive: time.Minute, DialTimeout: time.Second, X0: -1, X1: -1,
+				Done: func(_ *Call, events []policy.Event) { ended <- events },
+				dial: func(ctx context.Context, addr string) (net.Conn, string, error) {
+					if tries++; tries < 3 {
+						return nil, "", &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", errno)}
+					}
+					return (&Partner{}).Dial(ctx, addr)
+				}})
+			p.Go(&Call{Endpoint: 1, Addr: partner.Addr, SentAt: time.Now(), Timeout: 5 * time.Second, Items: []Item{{ID: 1, Trace: "m"}}})
+			select {
+			case c := <-partner.Calls:
+				c.Write(standin.OK)
+			case events := <-ended:
+				t.Fatalf("%v after %d tries", events[0].Outcome, tries)
+			}
+			if events := <-ended; events[0].Outcome != policy.OK {
+				t.Errorf("%v after %d tries", events[0].Outcome, tries)
+			}
+		})
+	}
+}
--- a/internal/outbound/mux.go
+++ b/internal/outbound/mux.go
@@ -211,7 +211,7 @@
 func (m *mux) dial(id int) {
 	ctx, cancel := context.WithTimeout(context.Background(), m.pool.opt.DialTimeout)
 	defer cancel()
-	nc, proto, err := m.partner.Dial(ctx, m.addr)
+	nc, proto, err := m.pool.dial(ctx, m.partner, m.addr, func() bool { return true })
 	if err != nil {
 		m.pool.complain(m.endpoint, m.addr, err)
 	}
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -4,10 +4,13 @@
 package outbound
 
 import (
+	"context"
+	"net"
 	"sync"
 	"time"
 
 	"sliptide/internal/sockets"
+	"sliptide/internal/transient"
 	"sliptide/policy"
 )
 
@@ -29,6 +32,31 @@
 	Trouble func(endpoint uint32, addr string, err error)
 	// Closed is told of each connection over HTTP/1.1 that is closed. It must not be held up; it may be nil.
 	Closed func(Closing)
+
+	dial dialFunc // in place of a Partner's Dial, in tests; nil: none
+}
+
+// dialFunc connects to an address, as a Partner's Dial does.
+type dialFunc func(ctx context.Context, addr string) (nc net.Conn, proto string, err error)
+
+// dial connects to an endpoint, or returns why it has refused. What fails on this side, for a moment, says nothing of the
+// endpoint: it is tried again while ctx stands and wanted says so.
+func (p *Pool) dial(ctx context.Context, partner *Partner, addr string, wanted func() bool) (nc net.Conn, proto string, err error) {
+	connect := p.opt.dial
+	if connect == nil {
+		connect = partner.Dial
+	}
+	for {
+		nc, proto, err = connect(ctx, addr)
+		if err == nil || !transient.Dial(err) || !wanted() {
+			return nc, proto, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, "", err
+		case <-time.After(transient.Pause):
+		}
+	}
 }
 
 // troubleGap is the time between two words on one endpoint.
