Start: what fails for a moment at a start, and a SIGHUP before it, end no sender

Cause, by reading: the lock's file, its note, the file of endpoints taken out by hand, the address and the configuration were each tried once, and any error ended the program; a signal could end the wait for the lock's system call; a SIGHUP before the program had asked for signals ended it, by the default; a SIGHUP whose file could not be read at that moment was forgotten.

--- a/cmd/sliptide/run.go
+++ b/cmd/sliptide/run.go
@@ -33,6 +33,7 @@
 	"sliptide/internal/telemetry"
 	"sliptide/internal/telemetry/otlp"
 	"sliptide/internal/timeline"
+	"sliptide/internal/transient"
 )
 
 const (
@@ -40,6 +41,9 @@
 	leaveBy     = 3200 * time.Millisecond
 	knowBy      = 200 * time.Millisecond // the last snapshot may take so long,
 	telemetryBy = 200 * time.Millisecond // and the last traces
+	closeBy     = 100 * time.Millisecond // and the last records of the journal
+	startFor    = 15 * time.Second       // what fails for a moment is tried so long at a start,
+	readFor     = 2 * time.Second        // and configuration files that can't be read
 	spareFiles  = 32                     // descriptors that are no clients' or endpoints' connections
 
 	// Connections to endpoints: several for each call that may be out, and some that stand idle.
@@ -55,11 +59,7 @@
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	hup := make(chan os.Signal, 1) // or the run time would end the process on it
 	signal.Notify(hup, syscall.SIGHUP)
-	cfg, err := config.Load(os.Getenv)
-	if err != nil {
-		return fmt.Errorf("%w: %w", cli.ErrConfig, err)
-	}
-	op, err := loadOperator(operatorFile)
+	cfg, op, err := configure(operatorFile, config.Load)
 	if err != nil {
 		return fmt.Errorf("%w: %w", cli.ErrConfig, err)
 	}
@@ -73,7 +73,11 @@
 		return fmt.Errorf("%w: %w", cli.ErrConfig, err)
 	}
 	warn(log, warnings)
-	place, err := takePlace(cfg.State, cfg.Listen)
+	var place *place
+	err = transient.Retry(startFor, transient.Disk, func() (err error) {
+		place, err = takePlace(cfg.State, cfg.Listen, log)
+		return err
+	})
 	if err != nil {
 		return err
 	}
@@ -88,12 +92,20 @@
 	if err != nil {
 		return err
 	}
-	kept, err := admin.Open(fsys.OS{Dir: cfg.State})
+	var kept *admin.Kept
+	err = transient.Retry(startFor, transient.Disk, func() (err error) {
+		kept, err = admin.Open(fsys.OS{Dir: cfg.State})
+		return err
+	})
 	if err != nil {
 		return err
 	}
 	space.Account().Claim(admin.Room)
-	ln, err := listen(cfg.Listen)
+	var ln net.Listener
+	err = transient.Retry(startFor, transient.Local, func() (err error) {
+		ln, err = listen(cfg.Listen)
+		return err
+	})
 	if err != nil {
 		return fmt.Errorf("RELAY_LISTEN: %w", err)
 	}
@@ -198,8 +210,8 @@
 	m := memory.get()
 	m.close()
 	closeTelemetry(pipe)
-	if err := jr.Close(); err != nil {
-		return err
+	if err := transient.Retry(closeBy, transient.Disk, jr.Close); err != nil { // what it can't note is in doubt to the next life
+		log.Error().Err(err).Msg("the journal's last records are not written")
 	}
 	log.Info().Msg("stopped")
 	return nil
@@ -280,6 +292,17 @@
 	return storm.New(storm.SettingsOf(&cfg.Settings, limits), cfg.Seed)
 }
 
+// configure reads both configuration files. A file that can't be read for a moment is tried again: a SIGHUP comes once.
+func configure(operatorFile string, load func(getenv func(string) string) (*config.Config, error)) (cfg *config.Config, op *operator.File, err error) {
+	err = transient.Retry(readFor, transient.Disk, func() (err error) {
+		var operr error
+		cfg, err = load(os.Getenv)
+		op, operr = loadOperator(operatorFile)
+		return errors.Join(err, operr)
+	})
+	return cfg, op, err
+}
+
 // loadOperator reads the operators' file, or the defaults where there is none.
 func loadOperator(path string) (*operator.File, error) {
 	if path == "" {
@@ -354,9 +377,8 @@
 		case <-hup:
 		case <-daily.C:
 		}
-		cfg, err := config.Reload(os.Getenv)
-		op, operr := loadOperator(operatorFile)
-		if err = errors.Join(err, operr); err != nil {
+		cfg, op, err := configure(operatorFile, config.Reload)
+		if err != nil {
 			log.Error().Err(err).Msg("the new configuration is of no use, keeping the old")
 			continue
 		}
--- a/cmd/sliptide/upgrade.go
+++ b/cmd/sliptide/upgrade.go
@@ -38,10 +38,13 @@
 
 // takePlace takes the folder, or the heir's place where the same sender, on the same address for clients,
 // holds it: a new version started beside the present one. Any other holder keeps it.
-func takePlace(dir, listen string) (*place, error) {
+func takePlace(dir, listen string, log zerolog.Logger) (*place, error) {
 	lock, err := statedir.Lock(dir, 0)
 	if err == nil {
-		return &place{dir: dir, lock: lock}, lock.Note(holder(listen))
+		if err := lock.Note(holder(listen)); err != nil { // an upgrade can't start beside it, which is no reason not to serve
+			log.Warn().Err(err).Msg("state folder: the lock says nothing of its holder")
+		}
+		return &place{dir: dir, lock: lock}, nil
 	}
 	if !errors.Is(err, statedir.ErrInUse) || statedir.Holder(dir) != holder(listen) {
 		return nil, err
--- a/internal/statedir/statedir.go
+++ b/internal/statedir/statedir.go
@@ -31,11 +31,11 @@
 		return nil, fmt.Errorf("state folder: %w", err)
 	}
 	for end := time.Now().Add(patience); ; time.Sleep(lockPause) {
-		err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+		err := lock(f)
 		switch {
 		case err == nil:
 			return &Locked{f}, nil
-		case err != syscall.EWOULDBLOCK && err != syscall.EINTR:
+		case err != syscall.EWOULDBLOCK:
 			f.Close()
 			return nil, fmt.Errorf("state folder %s: lock: %w", dir, err)
 		case !time.Now().Before(end):
@@ -55,7 +55,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("state folder: %w", err)
 	}
-	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+	if err := lock(f); err != nil {
 		f.Close()
 		if err == syscall.EWOULDBLOCK {
 			return nil, fmt.Errorf("state folder %s: a new version is already starting here: %w", dir, ErrInUse)
@@ -72,7 +72,16 @@
 		return false // no heir has ever been here
 	}
 	defer f.Close()
-	return syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) == syscall.EWOULDBLOCK
+	return lock(f) == syscall.EWOULDBLOCK
+}
+
+// lock takes the lock of an open file, if nobody holds it. A signal does not end it.
+func lock(f *os.File) error {
+	for {
+		if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != syscall.EINTR {
+			return err
+		}
+	}
 }
 
 // Note writes what the holder is into the lock file, for a process that finds the folder held: a new
