Connections rest longer after an answer; a fault of two endpoints counts for all

Change: a connection rests for half of the usual answer time, 100 ms at least and 250 ms at most; once two endpoints have sent what nobody asked for within a minute, the way to all is taken to be at fault, and each connection carries one call.

--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -143,7 +143,7 @@
 	given := c.off()
 	if m.Status == http.StatusOK && k.mismatched(c, took) {
 		k.nc.Close()
-		k.pool.distrust(k.endpoint, suspectFor)
+		k.pool.suspect(k.endpoint)
 		k.closed(CloseMismatch)
 		k.pool.end(c, policy.Error) // it may have run: its own answer is still to come
 		return false
@@ -174,7 +174,9 @@
 		return true
 	case sockets.Unsolicited:
 		reason = CloseUnsolicited
-		k.pool.distrust(k.endpoint, distrustFor)
+		k.pool.mu.Lock()
+		k.pool.repeats(k.endpoint)
+		k.pool.mu.Unlock()
 	}
 	k.nc.Close()
 	k.closed(reason)
@@ -193,14 +195,16 @@
 		return CloseBroken, false
 	}
 	k.answers++
+	k.pool.mu.Lock()
+	defer k.pool.mu.Unlock()
 	switch {
 	case m.Close:
 		return CloseAsked, false
 	case k.rd.Buffered():
-		k.pool.distrust(k.endpoint, distrustFor)
+		k.pool.repeats(k.endpoint)
 		return CloseUnsolicited, false
 	case !whole:
-		k.pool.distrust(k.endpoint, suspectFor)
+		k.pool.mannersOf(k.endpoint).suspectUntil = time.Now().Add(suspectFor)
 		return CloseMismatch, false
 	case m.Status != http.StatusOK: // a copy of it could not be told from the next call's answer by its time
 		return CloseRefused, false
--- a/internal/outbound/matching.go
+++ b/internal/outbound/matching.go
@@ -1,6 +1,9 @@
 package outbound
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // HTTP/1.1 does not say which request an answer belongs to: answers count by their order alone. An endpoint, or
 // something on the way to it, that writes one answer twice shifts all later ones on that connection by one. A
@@ -10,10 +13,11 @@
 	// earlyShare is the part of an endpoint's usual answer time before which a 200 on a kept connection is taken for
 	// a copy of an earlier one.
 	earlyShare = 0.25
-	// settleShare is the part of the usual answer time, settleMax at most, that a connection rests after an answer:
-	// a copy that follows the answer arrives while no request is out.
-	settleShare = 0.25
-	settleMax   = 100 * time.Millisecond
+	// settleShare is the part of the usual answer time, between settleMin and settleMax, that a connection rests after an
+	// answer: a copy that follows the answer arrives while no request is out.
+	settleShare = 0.5
+	settleMin   = 100 * time.Millisecond
+	settleMax   = 250 * time.Millisecond
 	// The usual answer time follows faster answers sooner than slower ones: it stands for the fast ones.
 	usualGainDown = 0.3
 	usualGainUp   = 0.05
@@ -23,12 +27,16 @@
 	// asked for; suspectFor, after an answer that came too early.
 	distrustFor = time.Minute
 	suspectFor  = 5 * time.Second
+	// spreadFrom is how many endpoints have to be distrusted at once for the fault to be taken for one of the way to all
+	// of them: then each connection to any endpoint carries one call only.
+	spreadFrom = 2
 )
 
 // manners is what is known of how an endpoint answers. The zero value is that of one of which nothing is known.
 type manners struct {
-	usual           time.Duration // from the last byte of a request to the first of its 200
-	distrustedUntil time.Time
+	usual        time.Duration // from the last byte of a request to the first of its 200
+	repeatsUntil time.Time     // it has sent what nobody asked for, and is not trusted
+	suspectUntil time.Time     // it has sent an answer that did not fit its call
 }
 
 // learn takes the time that a 200 took to a message's first attempt. An endpoint that knows a repeated message
@@ -54,14 +62,7 @@
 	if m.usual < usualLeast {
 		return 0
 	}
-	return min(time.Duration(settleShare*float64(m.usual)), settleMax)
-}
-
-// distrust lets connections carry one call only for so long.
-func (m *manners) distrust(now time.Time, span time.Duration) {
-	if until := now.Add(span); until.After(m.distrustedUntil) {
-		m.distrustedUntil = until
-	}
+	return min(max(time.Duration(settleShare*float64(m.usual)), settleMin), settleMax)
 }
 
 // mannersOf is what is known of an endpoint. The lock is held.
@@ -81,18 +82,29 @@
 	p.mannersOf(endpoint).learn(took)
 }
 
-// distrust lets connections to an endpoint carry one call only for so long.
-func (p *Pool) distrust(endpoint uint32, span time.Duration) {
+// repeats notes that an endpoint has sent what nobody asked for. The lock is held.
+func (p *Pool) repeats(endpoint uint32) {
+	now := time.Now()
+	m := p.mannersOf(endpoint)
+	if !now.Before(m.repeatsUntil) {
+		p.repeating = append(p.repeating, endpoint)
+	}
+	m.repeatsUntil = now.Add(distrustFor)
+}
+
+// suspect notes that an answer of an endpoint did not fit its call.
+func (p *Pool) suspect(endpoint uint32) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.mannersOf(endpoint).distrust(time.Now(), span)
+	p.mannersOf(endpoint).suspectUntil = time.Now().Add(suspectFor)
 }
 
-// distrusted reports whether connections to an endpoint carry one call only.
+// distrusted reports whether connections to an endpoint carry one call only. The lock is held.
 func (p *Pool) distrusted(endpoint uint32) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return time.Now().Before(p.mannersOf(endpoint).distrustedUntil)
+	now := time.Now()
+	p.repeating = slices.DeleteFunc(p.repeating, func(e uint32) bool { return !now.Before(p.manners[e].repeatsUntil) })
+	m := p.mannersOf(endpoint)
+	return len(p.repeating) >= spreadFrom || now.Before(m.repeatsUntil) || now.Before(m.suspectUntil)
 }
 
 // firstAttempt reports whether no message of a call has been sent before.
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -71,8 +71,9 @@
 	mux  map[uint32]*mux // by endpoint
 	told map[uint32]time.Time
 	// manners is how endpoints answer over HTTP/1.1.
-	manners map[uint32]*manners
-	pace    map[int]*dialPace // by destination, of those whose connections are paced
+	manners   map[uint32]*manners
+	repeating []uint32          // endpoints that have sent what nobody asked for
+	pace      map[int]*dialPace // by destination, of those whose connections are paced
 }
 
 // NewPool returns a Pool without connections.
@@ -204,10 +205,10 @@
 	case sockets.Ended:
 		return ClosePeer, false
 	case sockets.Unsolicited:
-		p.mannersOf(k.endpoint).distrust(time.Now(), distrustFor)
+		p.repeats(k.endpoint)
 		return CloseUnsolicited, false
 	}
-	if time.Now().Before(p.mannersOf(k.endpoint).distrustedUntil) {
+	if p.distrusted(k.endpoint) {
 		return CloseDistrusted, false
 	}
 	return 0, true
