Intake: a first request that crosses the close of its connection is answered

A new connection that had said nothing was half-closed, and a first request that arrived behind that was read and dropped. Change: such a connection hears 503 with a wait before it is half-closed, so that a request that crosses the close has its answer; nothing is taken on.

--- a/internal/intake/crossings_test.go
+++ b/internal/intake/crossings_test.go
@@ -91,7 +91,7 @@
 	}
 }
 
-// The same on a connection that never carried a request, and on one that is drained by hand.
+// The same on a new connection that is drained by hand: its first request is read, and has to be answered.
 func TestRequestCrossesTheCloseOfASilentConnection(t *testing.T) {
 	t.Parallel()
 	var g *guest
@@ -99,6 +99,9 @@
 	g = r.visit()
 	r.until("the connection is there", func() bool { return r.inState(silent) == 1 })
 	r.Drain()
+	if res := g.hear(t); res.StatusCode != 503 {
+		t.Errorf("a first request that came at the close is answered %d", res.StatusCode)
+	}
 	r.cleanEnd(g)
 	r.Undrain()
 }
@@ -205,7 +208,7 @@
 }
 
 // SIGTERM comes between a new connection and its first request: the client has time to write it, and is answered 503.
-// One that goes on saying nothing is closed cleanly.
+// One that goes on saying nothing hears 503, which answers a request that crosses the close, and a clean end.
 func TestANewConnectionAtTheShutdown(t *testing.T) {
 	t.Parallel()
 	r := newRig(t, 100, &hooks{})
@@ -227,6 +230,9 @@
 		t.Errorf("answer %d", res.StatusCode)
 	}
 	r.shut()
+	if res := mute.hear(t); res.StatusCode != 503 {
+		t.Errorf("one that says nothing hears %d", res.StatusCode)
+	}
 	r.cleanEnd(mute)
 }
 
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -340,7 +340,10 @@
 
 // next serves one request and reports whether the connection goes on.
 func (s *Server) next(c *client) bool {
-	if c.wait() != nil {
+	if err := c.wait(); err != nil {
+		if !c.begin && errors.Is(err, os.ErrDeadlineExceeded) { // a first request that crosses the close has its answer
+			c.answer(&response{status: 503, retry: stopRetry}, false)
+		}
 		return false
 	}
 	m, err := c.rd.Request()
