A connection is kept only once its endpoint's pace is known

The first answers of the new life went to repeats, which teach nothing of an endpoint's pace since a partner answers what it knows at once; without a pace a connection did not rest, and no answer was too early (0.35 ms; 79 ms with a copy 130 ms after its answer). Change: an endpoint of which no pace is known gets a connection for each message; a repeat that took as long as work does teaches the pace too; a connection rests for 150 ms at least, where 100 ms had left a gap before the first answer that is too early.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint fuzz crash h2-chaos storms telemetry duties duties-faults duties-gaps copies-faults copies-runs copies-size shares copies-price fleet copies measure bench generate run toy clean capacity capacity-page scale shards
+.PHONY: build test lint fuzz crash soak h2-chaos storms telemetry duties duties-faults duties-gaps copies-faults copies-runs copies-size shares copies-price fleet copies measure bench generate run toy clean capacity capacity-page scale shards
 
 build: ## the program and the simulator's adapter, into bin/
 	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
@@ -24,6 +24,9 @@
 crash: ## a process killed 1,000 times while it writes under load (about five minutes)
 	SLIPTIDE_CRASHES=1000 go test ./cmd/sliptide -count=1 -timeout 30m -v -run TestKilledWhileWriting | grep -v '"level"'
 
+soak: ## 56 seeds of faults on real processes: partners that repeat answers, signals, stepped clocks (about five minutes)
+	SLIPTIDE_SOAK_SEEDS=56 go test -race ./cmd/sliptide -count=1 -timeout 30m -parallel 8 -v -run TestSoakOfFaults | grep -E 'soak_test|ok|FAIL'
+
 h2-chaos: ## 100,000 messages to partners that close, reset and say GOAWAY at random (about two minutes)
 	SLIPTIDE_H2_MESSAGES=100000 go test ./cmd/sliptide -count=1 -timeout 30m -v -run TestH2Chaos | grep h2_test
 
--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -149,10 +149,7 @@
 		return false
 	}
 	events, whole := k.read(c, m, err)
-	reason, more := k.afterAnswer(c, m, err, given, whole)
-	if more && c.firstAttempt() {
-		k.pool.learn(k.endpoint, took)
-	}
+	reason, more := k.afterAnswer(c, m, err, given, whole, took)
 	// Both before it is reported: a further attempt must not find this one open, and a call
 	// that the outcome sets free must find this connection, or it opens a new one.
 	if more {
@@ -184,8 +181,8 @@
 }
 
 // afterAnswer reports whether the connection can take a further call, and if not, why it is closed. whole: an answer to
-// several messages has named each of them.
-func (k *conn) afterAnswer(c *Call, m *http1.Message, err error, given, whole bool) (reason CloseReason, more bool) {
+// several messages has named each of them; took: until it began.
+func (k *conn) afterAnswer(c *Call, m *http1.Message, err error, given, whole bool, took time.Duration) (reason CloseReason, more bool) {
 	switch {
 	case given:
 		return CloseGivenUp, false
@@ -211,6 +208,10 @@
 	case k.pool.distrusted(k.endpoint):
 		return CloseDistrusted, false
 	}
+	k.pool.learn(c, took)
+	if len(c.Items) > 0 && k.pool.untimed(k.endpoint) {
+		return CloseUntimed, false
+	}
 	return 0, true
 }
 
--- a/internal/outbound/matching.go
+++ b/internal/outbound/matching.go
@@ -16,7 +16,7 @@
 	// settleShare is the part of the usual answer time, between settleMin and settleMax, that a connection rests after an
 	// answer: a copy that follows the answer arrives while no request is out.
 	settleShare = 0.5
-	settleMin   = 100 * time.Millisecond
+	settleMin   = 150 * time.Millisecond
 	settleMax   = 250 * time.Millisecond
 	// The usual answer time follows faster answers sooner than slower ones: it stands for the fast ones.
 	usualGainDown = 0.3
@@ -39,8 +39,7 @@
 	suspectUntil time.Time     // it has sent an answer that did not fit its call
 }
 
-// learn takes the time that a 200 took to a message's first attempt. An endpoint that knows a repeated message
-// answers it at once, which says nothing of its pace.
+// learn takes the time that a 200 took.
 func (m *manners) learn(took time.Duration) {
 	gain := usualGainUp
 	switch {
@@ -75,13 +74,17 @@
 	return known
 }
 
-// learn takes the time of a 200 that fits its call.
-func (p *Pool) learn(endpoint uint32, took time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.mannersOf(endpoint).learn(took)
+// learn takes the time of a 200 that fits its call. An endpoint that knows a repeated message answers it at once, which
+// says nothing of its pace. The lock is held.
+func (p *Pool) learn(c *Call, took time.Duration) {
+	if c.firstAttempt() || len(c.Items) > 0 && took >= usualLeast {
+		p.mannersOf(c.Endpoint).learn(took)
+	}
 }
 
+// untimed reports whether nothing is known of how long an endpoint takes for messages. The lock is held.
+func (p *Pool) untimed(endpoint uint32) bool { return p.mannersOf(endpoint).usual == 0 }
+
 // repeats notes that an endpoint has sent what nobody asked for. The lock is held.
 func (p *Pool) repeats(endpoint uint32) {
 	now := time.Now()
--- a/internal/outbound/matching_test.go
+++ b/internal/outbound/matching_test.go
@@ -146,3 +146,12 @@
 		t.Errorf("a usual answer takes %v after ten slow ones", m.usual)
 	}
 }
+
+// Guards against a connection that is kept before anything is known of its endpoint's pace: each copy would be believed.
+func TestConnectionIsNotKeptBeforeItsEndpointsPaceIsKnown(t *testing.T) {
+	l := newLine(t)
+	l.Go(&Call{Endpoint: 1, Addr: l.partner.Addr, SentAt: time.Now(), Timeout: 5 * time.Second, Items: []Item{{ID: 1, Attempt: 1, Trace: "again"}}})
+	(<-l.partner.Calls).Write(standin.OK) // at once, as to a message that it knows
+	<-l.ended
+	l.wantClosed(CloseUntimed)
+}
