--- a/internal/outbound/closing.go
+++ b/internal/outbound/closing.go
@@ -19,7 +19,7 @@
 	CloseMismatch                       // an answer can't be that to the call that was out
 	CloseRefused                        // an answer was no 200
 	CloseDistrusted                     // its endpoint has answered out of turn lately
-	CloseUntimed                        // nothing is known yet of how long its endpoint takes
+	ClosePaceUnknown                    // nothing is known yet of how long its endpoint takes
 )
 
 var closeReasons = [...]string{
@@ -27,7 +27,7 @@
 	CloseUnsolicited: "unsolicited bytes", CloseWrite: "request not written", CloseBroken: "broken", CloseSpoilt: "answer that cannot be read",
 	CloseAsked: "asked to close", CloseGivenUp: "call given up",
 	CloseMismatch: "answer of another call", CloseRefused: "answer other than 200", CloseDistrusted: "endpoint answers out of turn",
-	CloseUntimed: "endpoint's time not known",
+	ClosePaceUnknown: "endpoint's time not known",
 }
 
 // String names the reason in the log.
--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -172,7 +172,7 @@
 	case sockets.Unsolicited:
 		reason = CloseUnsolicited
 		k.pool.mu.Lock()
-		k.pool.repeats(k.endpoint)
+		k.pool.noteUnsolicited(k.endpoint)
 		k.pool.mu.Unlock()
 	}
 	k.nc.Close()
@@ -198,10 +198,10 @@
 	case m.Close:
 		return CloseAsked, false
 	case k.rd.Buffered():
-		k.pool.repeats(k.endpoint)
+		k.pool.noteUnsolicited(k.endpoint)
 		return CloseUnsolicited, false
 	case !whole:
-		k.pool.mannersOf(k.endpoint).suspectUntil = time.Now().Add(suspectFor)
+		k.pool.profileOf(k.endpoint).suspectUntil = time.Now().Add(suspectFor)
 		return CloseMismatch, false
 	case m.Status != http.StatusOK: // a copy of it could not be told from the next call's answer by its time
 		return CloseRefused, false
@@ -209,8 +209,8 @@
 		return CloseDistrusted, false
 	}
 	k.pool.learn(c, took)
-	if len(c.Items) > 0 && k.pool.untimed(k.endpoint) {
-		return CloseUntimed, false
+	if len(c.Items) > 0 && k.pool.paceUnknown(k.endpoint) {
+		return ClosePaceUnknown, false
 	}
 	return 0, true
 }
--- a/internal/outbound/matching_test.go
+++ b/internal/outbound/matching_test.go
@@ -131,7 +131,7 @@
 
 // Guards against a usual answer time that one fast answer ends, or that a slow spell makes call true answers copies.
 func TestEarlyFollowsTheFastAnswers(t *testing.T) {
-	var m manners
+	var m answerProfile
 	for range 20 {
 		m.learn(200 * time.Millisecond)
 	}
@@ -153,5 +153,5 @@
 	l.Go(&Call{Endpoint: 1, Addr: l.partner.Addr, SentAt: time.Now(), Timeout: 5 * time.Second, Items: []Item{{ID: 1, Attempt: 1, Trace: "again"}}})
 	(<-l.partner.Calls).Write(standin.OK) // at once, as to a message that it knows
 	<-l.ended
-	l.wantClosed(CloseUntimed)
+	l.wantClosed(ClosePaceUnknown)
 }
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -70,15 +70,15 @@
 	open int
 	mux  map[uint32]*mux // by endpoint
 	told map[uint32]time.Time
-	// manners is how endpoints answer over HTTP/1.1.
-	manners   map[uint32]*manners
-	repeating []uint32          // endpoints that have sent what nobody asked for
+	// profiles is how endpoints answer over HTTP/1.1.
+	profiles  map[uint32]*answerProfile
+	offenders []uint32          // endpoints that have sent what nobody asked for
 	pace      map[int]*dialPace // by destination, of those whose connections are paced
 }
 
 // NewPool returns a Pool without connections.
 func NewPool(opt Options) *Pool {
-	return &Pool{opt: opt, idle: map[uint32][]*conn{}, mux: map[uint32]*mux{}, told: map[uint32]time.Time{}, manners: map[uint32]*manners{}, pace: map[int]*dialPace{}}
+	return &Pool{opt: opt, idle: map[uint32][]*conn{}, mux: map[uint32]*mux{}, told: map[uint32]time.Time{}, profiles: map[uint32]*answerProfile{}, pace: map[int]*dialPace{}}
 }
 
 // Go starts a call on an idle connection or a new one. It does not block.
@@ -205,7 +205,7 @@
 	case sockets.Ended:
 		return ClosePeer, false
 	case sockets.Unsolicited:
-		p.repeats(k.endpoint)
+		p.noteUnsolicited(k.endpoint)
 		return CloseUnsolicited, false
 	}
 	if p.distrusted(k.endpoint) {
@@ -272,7 +272,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	k.usedAt = time.Now()
-	k.freeAt = k.usedAt.Add(p.mannersOf(k.endpoint).settle())
+	k.freeAt = k.usedAt.Add(p.profileOf(k.endpoint).settle())
 	p.idle[k.endpoint] = append(p.idle[k.endpoint], k)
 }
 
