--- a/cmd/sliptide/inherit_test.go
+++ b/cmd/sliptide/inherit_test.go
@@ -5,9 +5,9 @@
 	"net/http"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -18,14 +18,26 @@
 
 // These tests lose a machine with its disk and look at what its heir makes of what it was handed.
 
-// shifted builds the program for a machine whose wall clock is off.
+// shiftedBuilds are the programs that shifted has built, one for each shift.
+var (
+	shiftedMu     sync.Mutex
+	shiftedBuilds = map[time.Duration]string{}
+)
+
+// shifted is the program for a machine whose wall clock is off, built once.
 func shifted(t *testing.T, by time.Duration) string {
 	t.Helper()
-	path := filepath.Join(t.TempDir(), "sliptide")
+	shiftedMu.Lock()
+	defer shiftedMu.Unlock()
+	if path := shiftedBuilds[by]; path != "" {
+		return path
+	}
+	path := fmt.Sprintf("%s-shifted%s", binary, by)
 	args := []string{"build", "-race", "-ldflags", "-X sliptide/internal/sender.wallShift=" + by.String(), "-o", path, "."}
 	if out, err := exec.Command("go", args...).CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
+	shiftedBuilds[by] = path
 	return path
 }
 
--- a/cmd/sliptide/soak_test.go
+++ b/cmd/sliptide/soak_test.go
@@ -38,7 +38,7 @@
 		seeds = soakSeedsInCI
 	}
 	first, _ := strconv.Atoi(os.Getenv("SLIPTIDE_SOAK_FIRST"))
-	binaries := []string{binary, shifted(t, time.Hour), shifted(t, -time.Hour), shifted(t, -2*time.Second)}
+	binaries := []string{binary, shifted(t, time.Hour), shifted(t, -time.Hour), shifted(t, -3*time.Second)}
 	for seed := first; seed < first+seeds; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
