--- a/cmd/sliptide/inherit_test.go
+++ b/cmd/sliptide/inherit_test.go
@@ -24,6 +24,9 @@
 	shiftedBuilds = map[time.Duration]string{}
 )
 
+// failWhile ends the name of a file beside a rig's folder; while it exists, the disk fails under a program of shifted.
+const failWhile = ".fails"
+
 // shifted is the program for a machine whose wall clock is off, built once.
 func shifted(t *testing.T, by time.Duration) string {
 	t.Helper()
@@ -33,7 +36,7 @@
 		return path
 	}
 	path := fmt.Sprintf("%s-shifted%s", binary, by)
-	args := []string{"build", "-race", "-ldflags", "-X sliptide/internal/sender.wallShift=" + by.String(), "-o", path, "."}
+	args := []string{"build", "-race", "-ldflags", "-X sliptide/internal/sender.wallShift=" + by.String() + " -X sliptide/internal/fsys.failWhile=" + failWhile, "-o", path, "."}
 	if out, err := exec.Command("go", args...).CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
--- a/cmd/sliptide/run.go
+++ b/cmd/sliptide/run.go
@@ -94,7 +94,7 @@
 	}
 	var kept *admin.Kept
 	err = transient.Retry(startFor, transient.Disk, func() (err error) {
-		kept, err = admin.Open(fsys.OS{Dir: cfg.State})
+		kept, err = admin.Open(fsys.Folder(cfg.State))
 		return err
 	})
 	if err != nil {
@@ -226,7 +226,7 @@
 		log.Warn().Err(err).Msg("the wall clock is taken for the time")
 		return sender.NewClockAt(reading.Wall)
 	}
-	files := fsys.OS{Dir: dir}
+	files := fsys.Folder(dir)
 	start, anchor, err := timeline.Start(files, reading)
 	if err != nil {
 		log.Warn().Err(err).Msg("the timeline of an earlier life is of no use")
@@ -247,13 +247,13 @@
 	clock sender.Clock, box *memoryBox, log zerolog.Logger) (*journal.Journal, []*journal.Entry, error) {
 	if place.waiting() {
 		log.Info().Msg("another process holds the state folder: starting beside it, to take over when it leaves")
-		jr, err := journal.OpenHeir(cfg.State, room)
+		jr, err := journal.OpenHeir(fsys.Folder(cfg.State), room)
 		return jr, nil, err
 	}
 	m := openMemory(cfg, op.Knowledge, space, clock, log)
 	m.room.YieldTo(room)
 	box.set(m)
-	return journal.Open(cfg.State, room)
+	return journal.OpenIn(fsys.Folder(cfg.State), room)
 }
 
 // openTelemetry starts the way to a collector, nil where the part is off.
@@ -322,7 +322,7 @@
 // take their room.
 func openMemory(cfg *config.Config, set operator.Knowledge, space *statedir.Space, clock sender.Clock, log zerolog.Logger) memory {
 	m := memory{room: space.Account()}
-	files := fsys.OS{Dir: cfg.State}
+	files := fsys.Folder(cfg.State)
 	if !set.Enabled {
 		var left int64
 		for _, name := range store.Names {
--- a/cmd/sliptide/soak_test.go
+++ b/cmd/sliptide/soak_test.go
@@ -38,7 +38,7 @@
 		seeds = soakSeedsInCI
 	}
 	first, _ := strconv.Atoi(os.Getenv("SLIPTIDE_SOAK_FIRST"))
-	binaries := []string{binary, shifted(t, time.Hour), shifted(t, -time.Hour), shifted(t, -3*time.Second)}
+	binaries := []string{shifted(t, 0), shifted(t, time.Hour), shifted(t, -time.Hour), shifted(t, -3*time.Second)}
 	for seed := first; seed < first+seeds; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
@@ -61,6 +61,7 @@
 		n := newSoakNode(t, s, i, senders, rand.New(rand.NewPCG(seed, 100+uint64(i))))
 		nodes[i] = n
 		rest.Go(func() { n.drain(over) })
+		n.rig.binary = binaries[0]
 		n.rig.start()
 		s.began = time.Now()
 		for c := range 4 {
@@ -76,13 +77,15 @@
 	play.Wait()
 	time.Sleep(soakLeft + restartSlack + endWithin) // the time of every message is up then
 	taken, repeated := s.judge()
+	halts := 0
 	for _, n := range nodes {
+		halts += strings.Count(n.rig.logs.String(), "the journal can't be written")
 		n.rig.kill(syscall.SIGTERM)
 		n.wantClean()
 	}
 	close(over)
 	rest.Wait()
-	t.Logf("seed %d: %d senders, crowd %v: %d messages taken on, %d calls, %d ran again, %d breaches", seed, senders, crowd, taken, s.calls, repeated, len(s.breaches))
+	t.Logf("seed %d: %d senders, crowd %v: %d messages taken on, %d calls, %d ran again, %d halts by the disk, %d breaches", seed, senders, crowd, taken, s.calls, repeated, halts, len(s.breaches))
 	if taken == 0 {
 		t.Error("nothing was taken on")
 	}
@@ -140,7 +143,7 @@
 			return
 		case <-time.After(time.Duration(500+n.rng.IntN(2500)) * time.Millisecond):
 		}
-		switch n.rng.IntN(7) {
+		switch n.rng.IntN(8) {
 		case 0, 1:
 			n.restart(binaries, true)
 		case 2:
@@ -159,6 +162,8 @@
 			n.rig.change(func() { n.rig.silent = true })
 			time.Sleep(time.Duration(500+n.rng.IntN(2000)) * time.Millisecond)
 			n.rig.change(func() { n.rig.silent = false })
+		case 7:
+			n.failDisk(time.Duration(50+n.rng.IntN(1500)) * time.Millisecond)
 		}
 	}
 }
@@ -167,6 +172,11 @@
 // that was stepped.
 func (n *soakNode) restart(binaries []string, planned bool) {
 	n.leave(n.index)
+	var disk sync.WaitGroup // a disk that fails through the end and the start
+	defer disk.Wait()
+	if n.rng.IntN(3) == 0 {
+		disk.Go(func() { n.failDisk(2 * time.Second) })
+	}
 	if planned {
 		for _, sig := range [][]syscall.Signal{{syscall.SIGTERM}, {syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP}, {syscall.SIGTERM, syscall.SIGTERM}}[n.rng.IntN(3)] {
 			n.rig.proc.Process.Signal(sig)
@@ -212,6 +222,16 @@
 	unix.Prlimit(pid, unix.RLIMIT_NOFILE, &was, nil)
 }
 
+// failDisk makes all that the sender writes in its folder fail for a while.
+func (n *soakNode) failDisk(d time.Duration) {
+	path := n.rig.state + failWhile
+	if err := os.WriteFile(path, nil, 0o600); err != nil {
+		n.t.Error(err)
+	}
+	time.Sleep(d)
+	os.Remove(path)
+}
+
 // crowd holds connections that say nothing.
 func (n *soakNode) crowd(stop <-chan struct{}) {
 	var held []net.Conn
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -187,10 +187,9 @@
 // while both run.
 const heirGap = 1 << 32
 
-// OpenHeir starts the journal of a new version that starts while the present one still works in dir: a
+// OpenHeir starts the journal of a new version that starts while the present one still works in the folder: a
 // file of its own, empty, whose numbers lie above all that the present one's journal has used.
-func OpenHeir(dir string, room *statedir.Account) (*Journal, error) {
-	files := fsys.OS{Dir: dir}
+func OpenHeir(files fsys.Opener, room *statedir.Account) (*Journal, error) {
 	text, err := read(files, fileName)
 	if err != nil {
 		return nil, err
@@ -513,6 +512,10 @@
 	return nil
 }
 
+// Torn reports whether the file may hold a part of what the last Flush failed to write: a process that were killed now
+// would find it there, whole records included.
+func (j *Journal) Torn() bool { return j.torn }
+
 // mend makes the folder such that the file can be added to: it ends with a whole record, and no other file holds records
 // that it has.
 func (j *Journal) mend() error {
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -7,6 +7,7 @@
 	"reflect"
 	"testing"
 
+	"sliptide/internal/fsys"
 	"sliptide/internal/statedir"
 )
 
@@ -155,7 +156,7 @@
 	present.Take(held)
 	present.Take(over)
 	present.Flush()
-	heir, err := OpenHeir(dir, statedir.NewSpace(1<<20).Account())
+	heir, err := OpenHeir(fsys.OS{Dir: dir}, statedir.NewSpace(1<<20).Account())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -185,7 +186,7 @@
 	}
 
 	// An heir that never took over: its file is taken in at the next start, beside the journal.
-	left, err := OpenHeir(dir, statedir.NewSpace(1<<20).Account())
+	left, err := OpenHeir(fsys.OS{Dir: dir}, statedir.NewSpace(1<<20).Account())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sender/journal_test.go
+++ b/internal/sender/journal_test.go
@@ -15,15 +15,10 @@
 	"sliptide/internal/statedir"
 )
 
-// Guards against messages whose attempts are used up by a disk that fails, and against ends that wait for it.
-func TestFailingDiskUsesUpNoAttempts(t *testing.T) {
-	var down atomic.Bool
-	files := &fsys.Faulty{FS: fsys.OS{Dir: t.TempDir()}, On: func(int, string, string) (f fsys.Fault) {
-		if down.Load() {
-			f.Err = syscall.ENOSPC
-		}
-		return f
-	}}
+// failingBench is a bench whose folder fails as fault says.
+func failingBench(t *testing.T, fault func(op string) fsys.Fault) *bench {
+	t.Helper()
+	files := &fsys.Faulty{FS: fsys.OS{Dir: t.TempDir()}, On: func(_ int, op, _ string) fsys.Fault { return fault(op) }}
 	j, restored, err := journal.OpenIn(files, statedir.NewSpace(1<<20).Account())
 	if err != nil {
 		t.Fatal(err)
@@ -32,9 +27,43 @@
 	b := &bench{t: t, journal: j, notices: make(chan discovery.Notice, 100)}
 	b.Sender = New(Options{Settings: benchSettings(), Seed: 1, Sockets: 10, Journal: j, Restored: restored, Clock: NewClock(), Log: zerolog.Nop(),
 		Notices: func(n discovery.Notice) { b.notices <- n }})
-	partner := standin.NewRawPartner(t)
 	b.dests[3] = true
 	b.next()
+	return b
+}
+
+// Guards against a refusal of a message whose record is on the disk, whole, and is sent by the next life.
+func TestNoVerdictWhileTheRecordMayStand(t *testing.T) {
+	var down atomic.Bool
+	b := failingBench(t, func(op string) (f fsys.Fault) {
+		if down.Load() {
+			f = fsys.Fault{Err: syscall.EIO, Bytes: 1 << 20} // all is written, and said to have failed
+		}
+		return f
+	})
+	down.Store(true)
+	verdict := b.hand("m", 1, 10*time.Second)
+	b.next()
+	if len(verdict) > 0 {
+		t.Fatalf("%+v while its record may stand", <-verdict)
+	}
+	down.Store(false)
+	b.await("the verdict", func() bool { return len(verdict) > 0 })
+	if v := <-verdict; !v.Taken {
+		t.Errorf("%+v though its record is written", v)
+	}
+}
+
+// Guards against messages whose attempts are used up by a disk that fails, and against ends that wait for it.
+func TestFailingDiskUsesUpNoAttempts(t *testing.T) {
+	var down atomic.Bool
+	b := failingBench(t, func(string) (f fsys.Fault) {
+		if down.Load() {
+			f.Err = syscall.ENOSPC
+		}
+		return f
+	})
+	partner := standin.NewRawPartner(t)
 	long, short := b.hand("long", 1, 15*time.Second), b.hand("short", 1, 400*time.Millisecond)
 	b.next()
 	if !(<-long).Taken || !(<-short).Taken {
--- a/internal/sender/orders.go
+++ b/internal/sender/orders.go
@@ -93,8 +93,12 @@
 
 // answer gives the verdicts of this step.
 func (s *Sender) answer(kept bool) {
+	torn := !kept && s.journal.Torn()
+	waiting := s.orders[:0]
 	for _, t := range s.orders {
 		switch {
+		case torn && time.Since(t.received) < verdictWithin: // neither is true yet: the next life might find its record
+			waiting = append(waiting, t)
 		case t.refused:
 			t.verdict <- Verdict{RetryAfter: t.after}
 		case !kept: // it is in no journal: the module must not hold it
@@ -111,9 +115,13 @@
 			t.verdict <- Verdict{Taken: true, Num: t.entry.Num}
 		}
 	}
-	s.orders = s.orders[:0]
+	clear(s.orders[len(waiting):])
+	s.orders = waiting
 }
 
+// verdictWithin is how long a client waits for its answer: a later one is heard by nobody.
+const verdictWithin = 400 * time.Millisecond
+
 // finish ends a message undelivered. One of this step is refused by its answer,
 // any other, which was taken on, ends with a notice.
 func (s *Sender) finish(a *policy.Action) {
