Outbound: bytes that come with an answer distrust nobody

What comes with an answer is seen before the connection is kept, and can end no later call. Change: it ends its connection alone (bytes behind an answer); what comes by itself distrusts as before. TestBytesBehindAnAnswerCostItsConnectionAlone.

--- a/internal/outbound/closing.go
+++ b/internal/outbound/closing.go
@@ -11,6 +11,7 @@
 	CloseReplaced                       // idle, and its endpoint has another address or is reached in another way
 	ClosePeer                           // the endpoint closed it while it was idle
 	CloseUnsolicited                    // the endpoint sent what nobody had asked for
+	CloseTrailing                       // an answer had more behind it than belongs to it
 	CloseWrite                          // a request could not be written
 	CloseBroken                         // it broke, or nothing came in time, before a whole answer
 	CloseSpoilt                         // an answer could not be read
@@ -24,7 +25,7 @@
 
 var closeReasons = [...]string{
 	CloseIdle: "idle", CloseEvicted: "evicted", CloseHungUp: "hung up", CloseReplaced: "replaced", ClosePeer: "closed by the endpoint",
-	CloseUnsolicited: "unsolicited bytes", CloseWrite: "request not written", CloseBroken: "broken", CloseSpoilt: "answer that cannot be read",
+	CloseUnsolicited: "unsolicited bytes", CloseTrailing: "bytes behind an answer", CloseWrite: "request not written", CloseBroken: "broken", CloseSpoilt: "answer that cannot be read",
 	CloseAsked: "asked to close", CloseGivenUp: "call given up",
 	CloseMismatch: "answer of another call", CloseRefused: "answer other than 200", CloseDistrusted: "endpoint answers out of turn",
 	ClosePaceUnknown: "endpoint's time not known",
--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -197,9 +197,8 @@
 	switch {
 	case m.Close:
 		return CloseAsked, false
-	case k.rd.Buffered():
-		k.pool.noteUnsolicited(k.endpoint)
-		return CloseUnsolicited, false
+	case k.rd.Buffered(): // it came with the answer, and can end no later call
+		return CloseTrailing, false
 	case !whole:
 		k.pool.profileOf(k.endpoint).suspectUntil = time.Now().Add(suspectFor)
 		return CloseMismatch, false
--- a/internal/outbound/matching_test.go
+++ b/internal/outbound/matching_test.go
@@ -155,3 +155,15 @@
 	<-l.ended
 	l.wantClosed(ClosePaceUnknown)
 }
+
+// Guards against connections that carry one call each for noise that comes with an answer, and can end no later call.
+func TestBytesBehindAnAnswerCostItsConnectionAlone(t *testing.T) {
+	l := newLine(t)
+	l.answered(standin.OK + "noise")
+	l.wantClosed(CloseTrailing)
+	l.answered(standin.OK)
+	l.kept(sockets.Quiet)
+	if n := l.answered(standin.OK); n != 2 {
+		t.Errorf("on connection %d, want the kept one", n)
+	}
+}
