Timeline: an anchor that can't be read for a moment is waited for

Change: the read is tried for 10 s while its error is one that passes. Measured: TestStartWaitsForAnAnchorThatCannotBeRead fails without it (starts at the wall clock with a fresh anchor) and passes; timeline passes with -race.

--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"sliptide/internal/fsys"
+	"sliptide/internal/transient"
 )
 
 const (
@@ -23,6 +24,7 @@
 	newName   = fileName + ".new"
 	bootFile  = "/proc/sys/kernel/random/boot_id"
 	retryFile = time.Second
+	readFor   = 10 * time.Second // an anchor that can't be read is tried so long: without it deadlines move
 	// Room is the bytes that the anchor's file and its copy take in the folder.
 	Room = 1024
 )
@@ -52,7 +54,11 @@
 // error the wall clock's time and a fresh anchor are returned with it.
 func Start(files fsys.FS, now Reading) (start float64, anchor []byte, err error) {
 	fresh := fmt.Appendf(nil, "%d %.0f %q\n", now.Monotonic, now.Wall, now.Boot)
-	text, err := files.Read(fileName)
+	var text []byte
+	err = transient.Retry(readFor, transient.Disk, func() (err error) {
+		text, err = files.Read(fileName)
+		return err
+	})
 	if errors.Is(err, fs.ErrNotExist) {
 		return now.Wall, fresh, nil
 	}
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -56,3 +56,25 @@
 		t.Errorf("starts at %f: %v", start, err)
 	}
 }
+
+// Guards against a timeline that begins anew, and is written over, because its file can't be read for a moment.
+func TestStartWaitsForAnAnchorThatCannotBeRead(t *testing.T) {
+	disk := fsys.OS{Dir: t.TempDir()}
+	first := Reading{Wall: 1e12, Monotonic: 1, Boot: "a"}
+	_, anchor, err := Start(disk, first)
+	if err != nil || Keep(disk, anchor) != nil {
+		t.Fatalf("first life: %v", err)
+	}
+	failures := 2
+	files := &fsys.Faulty{FS: disk, On: func(_ int, op, _ string) (f fsys.Fault) {
+		if op == "read" && failures > 0 {
+			failures--
+			f.Err = syscall.EIO
+		}
+		return f
+	}}
+	start, fresh, err := Start(files, Reading{Wall: 2e12, Monotonic: 1, Boot: "a"})
+	if err != nil || start != first.Wall || fresh != nil {
+		t.Errorf("starts at %f with %q to keep: %v", start, fresh, err)
+	}
+}
