--- a/cmd/sliptide/run.go
+++ b/cmd/sliptide/run.go
@@ -210,7 +210,8 @@
 	m := memory.get()
 	m.close()
 	closeTelemetry(pipe)
-	if err := transient.Retry(closeBy, transient.Disk, jr.Close); err != nil { // what it can't note is in doubt to the next life
+	flushed := transient.Retry(closeBy, transient.Disk, jr.Flush) // Close tries once, and lets go of the file
+	if err := errors.Join(flushed, jr.Close()); err != nil {      // what it can't note is in doubt to the next life
 		log.Error().Err(err).Msg("the journal's last records are not written")
 	}
 	log.Info().Msg("stopped")
