Test of the stepped clock: its program is built before the messages are handed in

Cause: TestWallClockStep failed when run without the soak (two of two runs, the row an hour ahead: notice 2.47 s late). Traced: the build of the stepped program stood between the kill and the start, and since builds are made once and in turn the third row waited for two others; its restart was late, the sender was not. Change: it is built first. The bound is as it was.

--- a/cmd/sliptide/wallclock_test.go
+++ b/cmd/sliptide/wallclock_test.go
@@ -14,6 +14,7 @@
 	t.Parallel()
 	for _, step := range []time.Duration{time.Hour, -time.Hour, -3 * time.Second} {
 		t.Run(fmt.Sprint(step), func(t *testing.T) {
+			stepped := shifted(t, step)
 			r := newRigWith(t, `<knowledge enabled="true" write-every="1m"/>`, nil, "one")
 			r.take("waits", 0, 15, "")
 			told := time.Now()
@@ -23,7 +24,7 @@
 			r.take("short", 7, 2, "")
 			taken := time.Now()
 			r.kill(syscall.SIGKILL)
-			r.binary = shifted(t, step)
+			r.binary = stepped
 			r.start()
 			n := r.notice()
 			if late := time.Since(taken) - 2*time.Second; n.Message != "short" || late > 300*time.Millisecond+restartSlack {
