Log and metric: late ends, attempts that do not begin, notices and what an exit leaves

Change: a warning for each attempt that the decision module ordered and that does not begin, with message and cause; one warning a step for messages that ended past their deadline, and the counter sliptide.messages.ended_late; with log records, a line for each notice posted and acknowledged, and the time left of what is accepted; at the end of sending what is held, out and due first; how long the state directory was waited for and how long a process takes to close.

--- a/cmd/sliptide/run.go
+++ b/cmd/sliptide/run.go
@@ -210,6 +210,7 @@
 	} else {
 		shutdown(server, snd, ln)
 	}
+	sendingEnded := time.Now()
 	<-fleetLeft
 	latest := knowledge.get()
 	latest.close()
@@ -220,7 +221,7 @@
 	if err := errors.Join(flushed, jrnl.Close()); err != nil {
 		log.Error().Err(err).Msg("writing the last records of the journal failed")
 	}
-	log.Info().Msg("stopped")
+	log.Info().Dur("after_sending", time.Since(sendingEnded)).Msg("stopped")
 	return nil
 }
 
--- a/cmd/sliptide/upgrade.go
+++ b/cmd/sliptide/upgrade.go
@@ -121,11 +121,13 @@
 
 // takeOver waits until the old process has released the state directory, then makes this process the active sender.
 func (s *successor) takeOver() {
+	waitedFrom := time.Now()
 	lock, err := statedir.Lock(s.cfg.StateDir, takeOverTimeout)
 	if err != nil {
 		s.log.Error().Err(err).Msg("upgrade: locking the state directory after the old process failed; this process sends nothing")
 		return
 	}
+	s.log.Info().Dur("waited", time.Since(waitedFrom)).Msg("the old process has released the state directory: taking over")
 	knowledge := openKnowledge(s.cfg, s.op.Knowledge, s.space, s.clock, s.log)
 	knowledge.account.YieldTo(s.journalAccount)
 	if knowledge.Writer != nil {
--- a/internal/sender/calls.go
+++ b/internal/sender/calls.go
@@ -12,11 +12,47 @@
 
 // This file groups the attempts of a step into calls and starts them.
 
+// skipCause is why an attempt that the module ordered does not begin.
+type skipCause uint8
+
+// The causes.
+const (
+	skipNone        skipCause = iota // it begins
+	skipEnded                        // the message has ended
+	skipInProgress                   // an attempt of the message is in progress
+	skipNoAddress                    // the endpoint is not listed
+	skipStopping                     // the sender stops, and stopSendWindow has passed
+	skipHandingOver                  // the sender hands over to a successor
+)
+
+var skipCauseNames = [...]string{"none", "message ended", "attempt in progress", "endpoint not listed", "stopping", "handing over"}
+
+// String returns the cause in words.
+func (c skipCause) String() string { return skipCauseNames[min(int(c), len(skipCauseNames)-1)] }
+
+// skipCauseOf returns why an attempt of m at e does not begin.
+func (s *Sender) skipCauseOf(m *message, e discovery.Endpoint) skipCause {
+	switch {
+	case m == nil:
+		return skipEnded
+	case m.call != nil:
+		return skipInProgress
+	case e.Addr == "":
+		return skipNoAddress
+	case s.stoppedFor(stopSendWindow):
+		return skipStopping
+	case s.handingOver:
+		return skipHandingOver
+	}
+	return skipNone
+}
+
 // beginAttempt records an attempt and adds it to a call. Attempts of one step at one endpoint share calls as far as the
 // batch size of its kind allows. No attempt begins after stopSendWindow or while handing over.
 func (s *Sender) beginAttempt(a *policy.Action) {
 	m, e := s.messages[a.ID], s.endpoints[a.Endpoint]
-	if m == nil || m.call != nil || e.Addr == "" || s.stoppedFor(stopSendWindow) || s.handingOver {
+	if cause := s.skipCauseOf(m, e); cause != skipNone {
+		s.observer.logSkipped(a, m, cause)
 		return
 	}
 	item := outbound.Item{ID: m.Num, Attempt: m.Attempts, Trace: m.Trace, Key: m.Key, Body: m.Body}
--- a/internal/sender/observe.go
+++ b/internal/sender/observe.go
@@ -46,7 +46,7 @@
 	e := o.log.Log().Int32("dest", r.Dest)
 	switch r.Kind {
 	case telemetry.KindAccepted:
-		e = e.Str("trace", r.Text).Bool("again", r.Resubmitted).Bool("restored", r.Restored)
+		e = e.Str("trace", r.Text).Bool("again", r.Resubmitted).Bool("restored", r.Restored).Float64("left", r.Until-r.At)
 	case telemetry.KindRefused, telemetry.KindWaitCause:
 		e = e.Stringer("cause", r.Cause)
 	case telemetry.KindCallStarted:
@@ -62,6 +62,25 @@
 	e.Uint64("num", r.Num).Str("record", r.Kind.String()).Send()
 }
 
+// logNotice logs, with logRecords, that the notice of a message was posted or acknowledged, and how many milliseconds of
+// the message's time were left then.
+func (o *observer) logNotice(e *journal.Entry, event string, now float64) {
+	if !o.logRecords {
+		return
+	}
+	o.log.Log().Str("trace", e.Trace).Bool("returned", e.Ending == journal.EndingReturned).Float64("left", float64(e.Deadline)-now).
+		Uint64("num", e.Num).Str("event", event).Str("record", "notice").Send()
+}
+
+// logSkipped logs that an attempt which the module ordered did not begin. m is nil if the message has ended.
+func (o *observer) logSkipped(a *policy.Action, m *message, cause skipCause) {
+	e := o.log.Warn().Uint64("num", a.ID).Uint32("endpoint", a.Endpoint).Stringer("cause", cause)
+	if m != nil {
+		e = e.Str("trace", m.Trace).Int("dest", m.Dest)
+	}
+	e.Msg("an attempt did not begin")
+}
+
 // closed logs that a connection to an endpoint was closed. It is called on the connection's goroutine. Unsolicited
 // bytes from an endpoint are always logged, other reasons only with logRecords.
 func (o *observer) closed(c outbound.CloseEvent) {
@@ -174,6 +193,7 @@
 	gauge(telemetry.MessagesHeld, float64(len(s.messages)))
 	gauge(telemetry.ActiveCalls, float64(len(s.calls)))
 	gauge(telemetry.DestinationsWaiting, float64(waiting))
+	gauge(telemetry.MessagesEndedLate, float64(s.lateEndingCount))
 	gauge(telemetry.JournalSize, float64(s.journal.Size()))
 	openBreakers, ramping, advertised := s.module.Overview()
 	gauge(telemetry.BreakersOpen, float64(openBreakers))
--- a/internal/sender/outcomes.go
+++ b/internal/sender/outcomes.go
@@ -104,6 +104,7 @@
 	for _, num := range nums {
 		if e := s.pendingNotices[num]; e != nil {
 			delete(s.pendingNotices, num)
+			s.observer.logNotice(e, "acknowledged", s.now)
 			s.journal.End(e)
 		}
 	}
@@ -138,6 +139,8 @@
 func (s *Sender) endWithNotice(e *journal.Entry, ending int, retryAfterMS float64) {
 	s.journal.OweNotice(e, ending, int64(retryAfterMS))
 	s.pendingNotices[e.Num] = e
+	s.noteLateness(e)
+	s.observer.logNotice(e, "posted", s.now)
 	s.sendNotice(e)
 }
 
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -205,6 +205,9 @@
 	stopRequestedAt time.Time // zero: no stop requested
 	handingOver     bool      // stopping for a waiting successor: no further call begins
 	clientsGone     bool      // no further submissions or withdrawals follow
+
+	lateEndings     lateEndings // since the last report
+	lateEndingCount uint64      // messages of this process that ended past their deadline
 }
 
 // pendingSubmission is a submission of the current step that awaits its verdict.
@@ -391,7 +394,7 @@
 		s.handingOver = s.handingOver || in.handOver
 		if s.stopRequestedAt.IsZero() {
 			s.stopRequestedAt = time.Now()
-			s.log.Info().Int("held", len(s.messages)).Int("calls", len(s.calls)).Msg("stopping")
+			s.log.Info().Int("held", len(s.messages)).Int("calls", len(s.calls)).Bool("handing_over", s.handingOver).Msg("stopping")
 		}
 	}
 }
@@ -420,6 +423,7 @@
 	}
 	s.answerSubmissions(err == nil)
 	s.dispatch(err == nil)
+	s.reportLateEndings()
 	s.observeStep()
 	s.writeKnowledge(false)
 	s.armTimer()
--- a/internal/sender/stopping.go
+++ b/internal/sender/stopping.go
@@ -1,6 +1,9 @@
 package sender
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // This file stops a sender.
 
@@ -38,6 +41,7 @@
 // the journal are left: their clients are refused.
 func (s *Sender) shutDown() {
 	s.updateNow()
+	s.logExit()
 	for {
 		select {
 		case in := <-s.inputs:
@@ -58,6 +62,20 @@
 	}
 }
 
+// logExit logs what the sender leaves to the next process, and the time until the first of it is due.
+func (s *Sender) logExit() {
+	firstDueMS := math.Inf(1)
+	for _, m := range s.messages {
+		firstDueMS = min(firstDueMS, float64(m.Deadline)-s.now)
+	}
+	e := s.log.Info().Int("held", len(s.messages)).Int("calls", len(s.calls)).Int("notices", len(s.pendingNotices)).
+		Bool("handing_over", s.handingOver)
+	if len(s.messages) > 0 {
+		e = e.Float64("first_due_ms", firstDueMS)
+	}
+	e.Msg("sending has ended")
+}
+
 // stoppedFor reports whether a stop was requested at least that long ago.
 func (s *Sender) stoppedFor(d time.Duration) bool {
 	return !s.stopRequestedAt.IsZero() && time.Since(s.stopRequestedAt) >= d
--- a/internal/sender/upgrade.go
+++ b/internal/sender/upgrade.go
@@ -45,6 +45,7 @@
 		return err
 	}
 	s.successor = false
+	noticesBefore := len(s.pendingNotices)
 	for _, e := range entries {
 		s.restore(e)
 	}
@@ -55,7 +56,7 @@
 	for i := range lists {
 		s.handleList(&lists[i])
 	}
-	s.log.Info().Int("restored", len(entries)).Int("lists", len(lists)).Msg("took over from the previous version")
+	s.log.Info().Int("restored", len(entries)).Int("ended", len(s.pendingNotices)-noticesBefore).Int("lists", len(lists)).Msg("took over from the previous version")
 	return nil
 }
 
--- a/internal/telemetry/assembler.go
+++ b/internal/telemetry/assembler.go
@@ -336,6 +336,7 @@
 	CopiesLag
 	CopiesBatchesWaiting
 	CopiesMessagesShort
+	MessagesEndedLate
 	instrumentCount
 )
 
@@ -355,6 +356,7 @@
 	CopiesLeaseHeld:      {Name: "sliptide.copies.lease", Unit: "1", Description: "1 while the lease on this sender's journal holds", Kind: metric.Gauge},
 	CopiesLag:            {Name: "sliptide.copies.lag", Unit: "{batch}", Description: "how far the holder of copies that is furthest behind is", Kind: metric.Gauge},
 	CopiesBatchesWaiting: {Name: "sliptide.copies.waiting", Unit: "{batch}", Description: "batches that answers or calls wait for", Kind: metric.Gauge},
+	MessagesEndedLate:    {Name: "sliptide.messages.ended_late", Unit: "{message}", Description: "messages that ended by a notice past their deadline"},
 	CopiesMessagesShort:  {Name: "sliptide.copies.short", Unit: "{message}", Description: "messages that too few holders had in time"},
 }
 
