--- /dev/null
+++ b/cmd/sliptide/handover_test.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"os/exec"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// upgrade runs a sender's old process and, beside it, its successor.
+type upgrade struct {
+	*rig
+	successor     *exec.Cmd
+	successorLogs logBuffer
+	conn          net.Conn // to the old process
+	reader        *bufio.Reader
+}
+
+// newUpgrade starts a sender, connects to it, and then starts its successor.
+func newUpgrade(t *testing.T, kinds ...string) *upgrade {
+	t.Helper()
+	u := &upgrade{rig: newRig(t, nil, kinds...)}
+	conn, err := net.Dial("tcp", u.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	u.conn, u.reader = conn, bufio.NewReader(conn)
+	u.submitToOld("first", 0, 10) // the connection stays with the old process from here on
+	u.expectCallFor("first").respond(200)
+	u.successor = u.startSuccessor(&u.successorLogs)
+	return u
+}
+
+// startSuccessor starts a further process of the sender and waits until it has started.
+func (r *rig) startSuccessor(logs *logBuffer) *exec.Cmd {
+	r.t.Helper()
+	successor := exec.Command(r.proc.Path, r.proc.Args[1:]...)
+	successor.Env = r.proc.Env
+	successor.Stderr = logs
+	if err := successor.Start(); err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { successor.Process.Kill(); successor.Wait() })
+	logs.await(r.t, `"started"`)
+	return successor
+}
+
+// submitToOld submits a message to the old process, which must accept it, and returns its deadline.
+func (u *upgrade) submitToOld(id string, dest int, expiresIn float64) (deadline time.Time) {
+	u.t.Helper()
+	deadline = time.Now().Add(time.Duration(expiresIn * float64(time.Second)))
+	u.conn.SetDeadline(time.Now().Add(testTimeout))
+	fmt.Fprintf(u.conn, "POST /api HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: %s\r\nX-Qos: note\r\nX-Customer: acme\r\nX-Expires-In: %.3f\r\n"+
+		"Idempotency-Key: key-%s\r\nX-Route-To: dest=%d\r\nContent-Length: 0\r\n\r\n", id, expiresIn, id, dest)
+	resp, err := http.ReadResponse(u.reader, nil)
+	if err != nil || resp.StatusCode != 202 {
+		u.t.Fatalf("message %s: %v %v", id, resp, err)
+	}
+	resp.Body.Close()
+	return deadline
+}
+
+// expectNoticeBy waits for the notice of the message and fails the test if it comes later than endTolerance past the
+// deadline.
+func (r *rig) expectNoticeBy(id string, deadline time.Time) {
+	r.t.Helper()
+	n := r.nextNotice()
+	if late := time.Since(deadline); n.Message != id || late > endTolerance {
+		r.t.Errorf("notice %+v %v after the deadline of %s, want its notice within %v", n, late, id, endTolerance)
+	}
+}
+
+// Guards against messages that end too late since the process that holds them is handing over.
+func TestMessageDueDuringHandOverEndsInTime(t *testing.T) {
+	u := newUpgrade(t, "one", "one")
+	u.submitToOld("hangs", 0, 15) // its call keeps the old process from exiting
+	u.expectCallFor("hangs")
+	due := u.submitToOld("due", 1, 1.8)
+	attempt := u.expectCallFor("due")
+	u.proc.Process.Signal(syscall.SIGTERM)
+	u.awaitLog(`"handing_over":true`)
+	attempt.respond(500) // the module orders the next attempt during the hand-over
+	u.expectNoticeBy("due", due)
+	select {
+	case <-u.exited:
+		t.Error("the old process exited before the notice")
+	default:
+	}
+}
+
+// Guards against messages that end too late since a successor accepted them before it took over.
+func TestMessageDueBeforeTakeOverEndsInTime(t *testing.T) {
+	u := newUpgrade(t, "one", "one")
+	u.submitToOld("hangs", 0, 15)
+	u.expectCallFor("hangs")
+	u.proc.Process.Signal(syscall.SIGTERM)
+	u.awaitLog(`"handing_over":true`) // its listener is closed: new connections go to the successor
+	due := time.Now().Add(time.Second)
+	u.mustSubmit("due", 1, 1, "")
+	u.expectNoticeBy("due", due)
+}
--- a/cmd/sliptide/knowledge_test.go
+++ b/cmd/sliptide/knowledge_test.go
@@ -95,16 +95,6 @@
 	}
 }
 
-// awaitLog waits until the log contains text.
-func (r *rig) awaitLog(text string) {
-	r.t.Helper()
-	for end := time.Now().Add(testTimeout); !strings.Contains(r.logs.String(), text); time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(end) {
-			r.t.Fatalf("not logged: %s", text)
-		}
-	}
-}
-
 // An advertised limit and a latency are on disk after a stop, and the commands show them. A damaged file is set aside
 // and logged at the next start. "knowledge forget" is refused while the sender runs.
 func TestKnowledgeSurvivesStop(t *testing.T) {
--- a/cmd/sliptide/rig_test.go
+++ b/cmd/sliptide/rig_test.go
@@ -148,6 +148,22 @@
 	return l.b.String()
 }
 
+// await waits until the log contains text.
+func (l *logBuffer) await(t *testing.T, text string) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); !strings.Contains(l.String(), text); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not logged: %s\n%s", text, l.String())
+		}
+	}
+}
+
+// awaitLog waits until the log of the sender contains text.
+func (r *rig) awaitLog(text string) {
+	r.t.Helper()
+	r.logs.await(r.t, text)
+}
+
 var rigCount atomic.Int32
 
 // newRig starts a sender with its discovery agent and endpoints, and marks the test as parallel. change adapts the
--- a/cmd/sliptide/run.go
+++ b/cmd/sliptide/run.go
@@ -221,7 +221,7 @@
 	if err := errors.Join(flushed, jrnl.Close()); err != nil {
 		log.Error().Err(err).Msg("writing the last records of the journal failed")
 	}
-	log.Info().Dur("after_sending", time.Since(sendingEnded)).Msg("stopped")
+	log.Info().Dur("after_sending_ms", time.Since(sendingEnded)).Msg("stopped")
 	return nil
 }
 
--- a/cmd/sliptide/upgrade.go
+++ b/cmd/sliptide/upgrade.go
@@ -127,7 +127,7 @@
 		s.log.Error().Err(err).Msg("upgrade: locking the state directory after the old process failed; this process sends nothing")
 		return
 	}
-	s.log.Info().Dur("waited", time.Since(waitedFrom)).Msg("the old process has released the state directory: taking over")
+	s.log.Info().Dur("waited_ms", time.Since(waitedFrom)).Msg("the old process has released the state directory: taking over")
 	knowledge := openKnowledge(s.cfg, s.op.Knowledge, s.space, s.clock, s.log)
 	knowledge.account.YieldTo(s.journalAccount)
 	if knowledge.Writer != nil {
--- a/cmd/sliptide/upgrade_test.go
+++ b/cmd/sliptide/upgrade_test.go
@@ -4,11 +4,9 @@
 	"fmt"
 	"net/http"
 	"os"
-	"os/exec"
 	"strings"
 	"syscall"
 	"testing"
-	"time"
 )
 
 // Guards against messages that an upgrade loses or sends twice. A second process starts with the same address and state
@@ -19,19 +17,7 @@
 	r.mustSubmit("old", 0, 15, "")
 	first := r.expectCallFor("old") // in progress in the old process while the new one starts
 	var logs logBuffer
-	successor := exec.Command(binary)
-	successor.Env = r.proc.Env
-	successor.Stderr = &logs
-	if err := successor.Start(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { successor.Process.Kill(); successor.Wait() })
-	for end := time.Now().Add(testTimeout); !strings.Contains(logs.String(), `"started"`); {
-		if time.Now().After(end) {
-			t.Fatalf("the new process does not start: %s", logs.String())
-		}
-		time.Sleep(time.Millisecond) // polls the log
-	}
+	successor := r.startSuccessor(&logs)
 	// New connections are distributed over both listeners, so that each process gets some messages.
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	want := map[string]bool{"old": true}
--- a/internal/sender/rig_test.go
+++ b/internal/sender/rig_test.go
@@ -56,9 +56,12 @@
 	return s
 }
 
-// listEndpoint lists the endpoint of destination 3.
-func (s *testSender) listEndpoint(addr string) {
-	s.handleList(&discovery.List{Full: true, Endpoints: []discovery.Endpoint{{Endpoint: policy.Endpoint{ID: 1, Dest: 3, State: policy.Ready}, Name: "e", Addr: addr}}})
+// listEndpoint lists the endpoint of destination 3 as ready.
+func (s *testSender) listEndpoint(addr string) { s.listEndpointAs(policy.Ready, addr) }
+
+// listEndpointAs lists the endpoint of destination 3 in the given state.
+func (s *testSender) listEndpointAs(state policy.EndpointState, addr string) {
+	s.handleList(&discovery.List{Full: true, Endpoints: []discovery.Endpoint{{Endpoint: policy.Endpoint{ID: 1, Dest: 3, State: state}, Name: "e", Addr: addr}}})
 }
 
 // runStep runs one step at the present time.
--- a/internal/sender/stopping_test.go
+++ b/internal/sender/stopping_test.go
@@ -145,3 +145,27 @@
 		t.Error("the refused message is in the journal")
 	}
 }
+
+// Guards against messages that the module orders to be sent while a stopping sender begins no calls, and that never end.
+func TestMessageDueWhileNoCallBeginsEnds(t *testing.T) {
+	for name, stop := range map[string]func(s *testSender){
+		"handing over":     func(s *testSender) { s.handleInput(input{stop: true, handOver: true}) },
+		"send window over": func(s *testSender) { s.stopRequestedAt = time.Now().Add(-stopSendWindow) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestSender(t, t.TempDir(), "", testSettings())
+			s.listEndpointAs(policy.Draining, listen(t).Addr().String())
+			verdict := s.submit("due", 1, 300*time.Millisecond)
+			s.runStep()
+			if !(<-verdict).Accepted {
+				t.Fatal("the message is refused")
+			}
+			stop(s)
+			s.listEndpointAs(policy.Ready, s.endpoints[1].Addr) // from here on the module may send
+			s.await("the message has no notice", func() bool { return len(s.notices) > 0 })
+			if late := s.now - float64(s.pendingNotices[(<-s.notices).Num].Deadline); late > 0 {
+				t.Errorf("the notice comes %.0f ms after the deadline", late)
+			}
+		})
+	}
+}
