Messages due while a stopping sender begins no call end in time

Cause: beginAttempt dropped the sends that the decision module ordered while handing over, and from 2.5 s after SIGTERM on in a planned restart, without an outcome. Evidence: the warning 'an attempt did not begin' with the message's number, and the reproduction on real processes. The cases that beginAttempt dropped silently are gone.

--- a/internal/sender/calls.go
+++ b/internal/sender/calls.go
@@ -21,11 +21,9 @@
 	skipEnded                        // the message has ended
 	skipInProgress                   // an attempt of the message is in progress
 	skipNoAddress                    // the endpoint is not listed
-	skipStopping                     // the sender stops, and stopSendWindow has passed
-	skipHandingOver                  // the sender hands over to a successor
 )
 
-var skipCauseNames = [...]string{"none", "message ended", "attempt in progress", "endpoint not listed", "stopping", "handing over"}
+var skipCauseNames = [...]string{"none", "message ended", "attempt in progress", "endpoint not listed"}
 
 // String returns the cause in words.
 func (c skipCause) String() string { return skipCauseNames[min(int(c), len(skipCauseNames)-1)] }
@@ -39,16 +37,13 @@
 		return skipInProgress
 	case e.Addr == "":
 		return skipNoAddress
-	case s.stoppedFor(stopSendWindow):
-		return skipStopping
-	case s.handingOver:
-		return skipHandingOver
 	}
 	return skipNone
 }
 
 // beginAttempt records an attempt and adds it to a call. Attempts of one step at one endpoint share calls as far as the
-// batch size of its kind allows. No attempt begins after stopSendWindow or while handing over.
+// batch size of its kind allows. The module expects an outcome of each attempt that it orders: where none may begin, it
+// must be halted instead.
 func (s *Sender) beginAttempt(a *policy.Action) {
 	m, e := s.messages[a.ID], s.endpoints[a.Endpoint]
 	if cause := s.skipCauseOf(m, e); cause != skipNone {
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -410,6 +410,7 @@
 	s.releaseLeavingShards(false)
 	s.endExpiredAttempts()
 	s.applyStormThrottles()
+	s.module.SetHalted(s.journalFailed || s.sendingEnded())
 	s.actions = s.module.Step(s.now, s.events, s.actions[:0])
 	s.events = s.events[:0]
 	for i := range s.actions {
@@ -429,14 +430,13 @@
 	s.armTimer()
 }
 
-// handleFlushResult handles the result of a journal write. While writes fail, the module begins no attempts, which
-// would count although they never ran; messages that reach their deadline still end.
+// handleFlushResult handles the result of a journal write. While writes fail, the module is halted: it orders no
+// attempts, which would count although they never ran, and ends the messages that reach their deadline.
 func (s *Sender) handleFlushResult(err error) {
 	if s.journalFailed == (err != nil) {
 		return
 	}
 	s.journalFailed = err != nil
-	s.module.SetHalted(s.journalFailed)
 	if s.journalFailed {
 		s.log.Error().Err(err).Msg("the journal can't be written: no message is accepted or sent")
 		return
--- a/internal/sender/stopping.go
+++ b/internal/sender/stopping.go
@@ -22,6 +22,10 @@
 // stopTimeout passes or it hands over to a successor.
 func (s *Sender) ClientsGone() { s.post(input{clientsGone: true}) }
 
+// sendingEnded reports whether a stopping sender begins no further call: it hands over to a successor, or stopSendWindow
+// has passed. Messages that reach their deadline still end.
+func (s *Sender) sendingEnded() bool { return s.handingOver || s.stoppedFor(stopSendWindow) }
+
 // exitDue reports whether a stopping sender may exit now.
 func (s *Sender) exitDue() bool {
 	return !s.stopRequestedAt.IsZero() && s.mayExit(time.Since(s.stopRequestedAt))
