Soak: upgrades, hanging endpoints, crowds, series of signals, strict on answers

Need: the soak never started a successor, so it could not find incident e5b187, and it excused every unanswered new connection while a sender stopped.

--- a/cmd/sliptide/admin_test.go
+++ b/cmd/sliptide/admin_test.go
@@ -17,15 +17,21 @@
 	t.Helper()
 	t.Parallel()
 	r := newUnstartedRig(t, "", nil, kinds...)
+	return r, r.useFreeAdminAddr()
+}
+
+// useFreeAdminAddr gives the next process of the sender an admin address that no other has had.
+func (r *rig) useFreeAdminAddr() string {
+	r.t.Helper()
 	n := rigCount.Add(1)
 	ln, err := net.Listen("tcp", fmt.Sprintf("127.78.%d.%d:0", n/250, n%250+1))
 	if err != nil {
-		t.Fatal(err)
+		r.t.Fatal(err)
 	}
 	addr := ln.Addr().String()
 	ln.Close()
 	r.config["admin"] = addr
-	return r, addr
+	return addr
 }
 
 // callAdmin makes one request to the admin address and returns the status and body of the answer, which must arrive
--- a/cmd/sliptide/rig_test.go
+++ b/cmd/sliptide/rig_test.go
@@ -370,8 +370,9 @@
 		r.t.Fatal(err)
 	}
 	r.exited = make(chan struct{})
-	exited := r.exited
-	go func(proc *exec.Cmd) { proc.Wait(); close(exited) }(r.proc)
+	proc, exited := r.proc, r.exited
+	go func() { proc.Wait(); close(exited) }()
+	r.t.Cleanup(func() { proc.Process.Kill() }) // a successor may have replaced it
 }
 
 // upStatus returns the status of GET /up, or 0 if there is no answer.
--- a/cmd/sliptide/soak_judge_test.go
+++ b/cmd/sliptide/soak_judge_test.go
@@ -12,6 +12,9 @@
 const (
 	endTolerance  = 350 * time.Millisecond // a message that ends later than this past its deadline counts as lost
 	inFlightGrace = 100 * time.Millisecond // for which a call may cross a requested wait or an earlier attempt's end
+	newConnWindow = 400 * time.Millisecond // after SIGTERM, in which new connections still come
+
+	maxUnansweredPerUpgrade = 2 // new connections that an upgrade may leave unanswered
 )
 
 // soakMessage records the events of one message.
@@ -48,13 +51,21 @@
 	waitUntil       map[[2]int]time.Time // by sender and destination: no calls before
 	waitRequestedAt map[[2]int]time.Time
 	outages         map[int][]outage
-	violations      []string
-	calls           int
+	terminatedAt    map[int]time.Time // by sender: the last series of signals to stop
+	killedAt        map[int]time.Time // by sender: the last SIGKILL
+	upgrading       map[int]bool      // by sender: the last process to stop had a successor
+	leftUnanswered  map[int]int       // by sender: new connections closed without an answer in its last upgrade
+
+	violations           []string
+	calls                int
+	upgrades             int
+	unansweredInUpgrades int
 }
 
 func newSoak(seed uint64) *soak {
 	return &soak{rng: rand.New(rand.NewPCG(seed, 34)), mix: soakMixes[seed%uint64(len(soakMixes))], startedAt: time.Now(), msgs: map[string]*soakMessage{},
-		waitUntil: map[[2]int]time.Time{}, waitRequestedAt: map[[2]int]time.Time{}, outages: map[int][]outage{}}
+		waitUntil: map[[2]int]time.Time{}, waitRequestedAt: map[[2]int]time.Time{}, outages: map[int][]outage{},
+		terminatedAt: map[int]time.Time{}, killedAt: map[int]time.Time{}, upgrading: map[int]bool{}, leftUnanswered: map[int]int{}}
 }
 
 // draw returns a new random source for one request, derived from the seed.
@@ -193,6 +204,49 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.outages[sender] = append(s.outages[sender], outage{from: time.Now()})
+	s.upgrading[sender] = false
+}
+
+// aboutToTerminate records that a process of a sender is about to receive signals to stop.
+func (s *soak) aboutToTerminate(sender int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.terminatedAt[sender] = time.Now()
+}
+
+// aboutToKill records that a process of a sender is about to receive SIGKILL.
+func (s *soak) aboutToKill(sender int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.killedAt[sender] = time.Now()
+}
+
+// upgradeStarting records that the process which is about to stop has a successor.
+func (s *soak) upgradeStarting(sender int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.upgrading[sender], s.leftUnanswered[sender] = true, 0
+	s.upgrades++
+}
+
+// unanswered records that a new connection, dialled at the given time, was closed without an answer to its request. Only
+// a SIGKILL excuses it, or that the connection was dialled later than the load balancer would after SIGTERM. An upgrade
+// may leave a few in the queue of the old listener.
+func (s *soak) unanswered(id string, sender int, dialedAt time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	terminated := s.terminatedAt[sender]
+	switch {
+	case !s.killedAt[sender].Before(dialedAt):
+	case s.upgrading[sender]:
+		s.unansweredInUpgrades++
+		if s.leftUnanswered[sender]++; s.leftUnanswered[sender] > maxUnansweredPerUpgrade {
+			s.addViolation("%s: sent on a new connection, the %d. that this upgrade of n%d closed without an answer", id, s.leftUnanswered[sender], sender)
+		}
+	case len(s.outages[sender]) > 0 && s.outages[sender][len(s.outages[sender])-1].to.IsZero() && dialedAt.After(terminated.Add(newConnWindow)):
+	default:
+		s.addViolation("%s: sent on a new connection, which was closed without an answer %v after a SIGTERM", id, time.Since(terminated))
+	}
 }
 
 // senderReady records that a sender is ready again.
--- a/cmd/sliptide/soak_partner_test.go
+++ b/cmd/sliptide/soak_partner_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -21,8 +22,13 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
+
+	hungUntil atomic.Int64 // Unix time in nanoseconds until which it answers nothing
 }
 
+// hangUntil makes the endpoint answer nothing until then.
+func (e *soakEndpoint) hangUntil(at time.Time) { e.hungUntil.Store(at.UnixNano()) }
+
 // soakBehaviour is how an endpoint handles a request.
 type soakBehaviour int
 
@@ -179,8 +185,9 @@
 	}
 }
 
-// process waits for the duration of a call, and reports whether the connection is still open then.
+// process waits for the duration of a call, longer while the endpoint hangs, and reports whether the connection is still open then.
 func (e *soakEndpoint) process(requests <-chan soakRequest, d time.Duration) bool {
+	d = max(d, time.Until(time.Unix(0, e.hungUntil.Load())))
 	select {
 	case _, open := <-requests:
 		if open {
