--- a/cmd/sliptide/handover_test.go
+++ b/cmd/sliptide/handover_test.go
@@ -23,7 +23,7 @@
 // newUpgrade starts a sender, connects to it, and then starts its successor.
 func newUpgrade(t *testing.T, kinds ...string) *upgrade {
 	t.Helper()
-	u := &upgrade{rig: newRig(t, nil, kinds...)}
+	u := &upgrade{rig: newRigWithOperatorFile(t, `<log records="true"/>`, nil, kinds...)}
 	conn, err := net.Dial("tcp", u.addr)
 	if err != nil {
 		t.Fatal(err)
@@ -104,3 +104,21 @@
 	u.mustSubmit("due", 1, 1, "")
 	u.expectNoticeBy("due", due)
 }
+
+// Guards against an old process that is killed before it has written its last outcomes, since a client delayed its stop.
+func TestHandOverEndsBeforeKill(t *testing.T) {
+	u := newUpgrade(t, "one", "one")
+	u.submitToOld("slow", 1, 10)
+	slow := u.expectCallFor("slow")
+	time.AfterFunc(time.Second, func() { slow.respond(200) }) // so slow that the next call may take longer than killDelay
+	u.awaitLog(`"end":"delivered","num":2,`)
+	u.submitToOld("hangs", 1, 15)
+	u.expectCallFor("hangs")
+	fmt.Fprint(u.conn, "POST /api HTTP/1.1\r\n") // half a request
+	u.proc.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-u.exited:
+	case <-time.After(killDelay):
+		t.Errorf("the old process runs %v after SIGTERM", killDelay)
+	}
+}
--- a/cmd/sliptide/upgrade.go
+++ b/cmd/sliptide/upgrade.go
@@ -177,12 +177,13 @@
 // up to handOverClientTimeout. Then no further call begins, and handOver returns when the calls in progress have ended.
 // The successor finds the remaining messages in the journal.
 func handOver(server *intake.Server, snd *sender.Sender, ln net.Listener) {
+	requestedAt := time.Now()
 	ln.Close()
 	server.Drain()
 	ctx, cancel := context.WithTimeout(context.Background(), handOverClientTimeout)
 	defer cancel()
 	server.Shutdown(ctx)
-	snd.HandOver()
+	snd.HandOver(requestedAt)
 	<-snd.Done()
 	lingerCtx, cancelLinger := context.WithTimeout(ctx, handOverLingerTimeout)
 	defer cancelLinger()
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -81,8 +81,7 @@
 	disable      *disableRequest
 	settings     *policy.Settings
 	upgrade      *upgradeTakeover // makes a waiting successor the active sender
-	stop         bool
-	handOver     bool // with stop: a successor is waiting
+	stop         *stopRequest
 	clientsGone  bool // no further submissions or withdrawals follow
 	wake         bool // fleet updates are queued
 }
@@ -390,10 +389,10 @@
 		in.upgrade.done <- s.handleUpgradeTakeover(in.upgrade)
 	case in.clientsGone:
 		s.clientsGone = true
-	case in.stop:
-		s.handingOver = s.handingOver || in.handOver
+	case in.stop != nil:
+		s.handingOver = s.handingOver || in.stop.handOver
 		if s.stopRequestedAt.IsZero() {
-			s.stopRequestedAt = time.Now()
+			s.stopRequestedAt = in.stop.at
 			s.log.Info().Int("held", len(s.messages)).Int("calls", len(s.calls)).Bool("handing_over", s.handingOver).Msg("stopping")
 		}
 	}
--- a/internal/sender/stopping.go
+++ b/internal/sender/stopping.go
@@ -9,11 +9,20 @@
 
 // Stop makes the sender refuse new messages and exit. Messages held are still sent for up to stopSendWindow, and calls
 // in progress may end within stopTimeout; the next process finds the remaining messages in the journal.
-func (s *Sender) Stop() { s.post(input{stop: true}) }
+func (s *Sender) Stop() { s.post(input{stop: &stopRequest{at: time.Now()}}) }
 
 // HandOver stops the sender in favour of a waiting successor: no further call begins, and it exits when the calls in
-// progress have ended. The successor finds the remaining messages in the journal.
-func (s *Sender) HandOver() { s.post(input{stop: true, handOver: true}) }
+// progress have ended, or stopTimeout after requestedAt, when the process was asked to stop. The successor finds the
+// remaining messages in the journal.
+func (s *Sender) HandOver(requestedAt time.Time) {
+	s.post(input{stop: &stopRequest{at: requestedAt, handOver: true}})
+}
+
+// stopRequest asks the sender to stop.
+type stopRequest struct {
+	at       time.Time // the time limits of the stop count from then
+	handOver bool      // a successor is waiting
+}
 
 // Done returns a channel that is closed when the sender has exited.
 func (s *Sender) Done() <-chan struct{} { return s.done }
--- a/internal/sender/stopping_test.go
+++ b/internal/sender/stopping_test.go
@@ -48,7 +48,7 @@
 	verdict := s.submit("m", 0, 20*time.Second)
 	s.runStep()
 	num := (<-verdict).Num
-	s.handleInput(input{stop: true})
+	s.handleInput(input{stop: &stopRequest{at: time.Now()}})
 	for c := range s.calls {
 		delete(s.calls, c) // as if the call had ended
 	}
@@ -149,7 +149,7 @@
 // Guards against messages that the module orders to be sent while a stopping sender begins no calls, and that never end.
 func TestMessageDueWhileNoCallBeginsEnds(t *testing.T) {
 	for name, stop := range map[string]func(s *testSender){
-		"handing over":     func(s *testSender) { s.handleInput(input{stop: true, handOver: true}) },
+		"handing over":     func(s *testSender) { s.handleInput(input{stop: &stopRequest{at: time.Now(), handOver: true}}) },
 		"send window over": func(s *testSender) { s.stopRequestedAt = time.Now().Add(-stopSendWindow) },
 	} {
 		t.Run(name, func(t *testing.T) {
