The successor takes over before the old process waits for its last clients

The old process held the state directory meanwhile for its collector (200 ms) and for clients that do not close their connections (100 ms, or not at all once the second for clients had passed, so that a late request was cut off). The log says how long the release took.

--- a/cmd/sliptide/handover_test.go
+++ b/cmd/sliptide/handover_test.go
@@ -122,3 +122,19 @@
 		t.Errorf("the old process runs %v after SIGTERM", killDelay)
 	}
 }
+
+// Guards against a takeover that waits for clients of the old process that never close their connections.
+func TestTakeOverDoesNotWaitForClients(t *testing.T) {
+	u := newUpgrade(t, "one")
+	u.submitToOld("hangs", 0, 15)
+	hangs := u.expectCallFor("hangs")
+	u.proc.Process.Signal(syscall.SIGTERM)
+	u.awaitLog(`"handing_over":true`)
+	hangs.respond(200) // u.conn stays open
+	u.successorLogs.await(t, "took over from the previous version")
+	select {
+	case <-u.exited:
+		t.Error("the old process did not wait for its clients, so that the test shows nothing")
+	default:
+	}
+}
--- a/cmd/sliptide/run.go
+++ b/cmd/sliptide/run.go
@@ -191,6 +191,7 @@
 		<-stop
 	case <-stop:
 	}
+	stopRequestedAt := time.Now()
 	fleetLeft := make(chan struct{})
 	handingOver := !dirLocks.waiting() && statedir.SuccessorWaiting(cfg.StateDir)
 	go func() { // leaves the fleet while this sender's last calls end, or after them if its journal is copied
@@ -206,7 +207,7 @@
 	}()
 	if handingOver {
 		log.Info().Msg("a successor is waiting: handing over")
-		handOver(server, snd, ln)
+		handOver(server, snd, ln, stopRequestedAt)
 	} else {
 		shutdown(server, snd, ln)
 	}
@@ -214,15 +215,25 @@
 	<-fleetLeft
 	latest := knowledge.get()
 	latest.close()
+	closeJournal(jrnl, log)
+	cancel() // nothing of this process may use the state directory, or post for its sender, once a successor does
+	dirLocks.release()
+	log.Info().Dur("after_sending_ms", time.Since(sendingEnded)).Msg("state directory released")
+	if handingOver {
+		lingerAfterHandOver(server, stopRequestedAt)
+	}
 	closeTelemetry(exporter)
-	// Close tries to write only once, so Flush is retried before it. After the restart, a message whose last record is
-	// missing counts as one that may have run.
+	log.Info().Msg("stopped")
+	return nil
+}
+
+// closeJournal writes the last records and closes the journal. Close tries to write only once, so Flush is retried
+// before it. After the restart, a message whose last record is missing counts as one that may have run.
+func closeJournal(jrnl *journal.Journal, log zerolog.Logger) {
 	flushed := transient.Retry(journalFlushTimeout, transient.IsDiskError, jrnl.Flush)
 	if err := errors.Join(flushed, jrnl.Close()); err != nil {
 		log.Error().Err(err).Msg("writing the last records of the journal failed")
 	}
-	log.Info().Dur("after_sending_ms", time.Since(sendingEnded)).Msg("stopped")
-	return nil
 }
 
 // startClock starts the sender's clock on the timeline that is kept in the state directory, which continues across
--- a/cmd/sliptide/upgrade.go
+++ b/cmd/sliptide/upgrade.go
@@ -26,10 +26,6 @@
 	// handOverClientTimeout limits how long a process that hands over answers the clients that it has.
 	handOverClientTimeout = time.Second
 
-	// handOverLingerTimeout limits the wait for clients to close their connections. It is short because the successor
-	// can't send before the state directory is free.
-	handOverLingerTimeout = 100 * time.Millisecond
-
 	// takeOverTimeout limits a successor's wait for the state directory. The wait is far shorter in practice, since the
 	// old process is killed within seconds of the successor reporting ready.
 	takeOverTimeout = 24 * time.Hour
@@ -176,8 +172,7 @@
 // successor. Existing clients are still answered, and their messages accepted, until their connections are closed, for
 // up to handOverClientTimeout. Then no further call begins, and handOver returns when the calls in progress have ended.
 // The successor finds the remaining messages in the journal.
-func handOver(server *intake.Server, snd *sender.Sender, ln net.Listener) {
-	requestedAt := time.Now()
+func handOver(server *intake.Server, snd *sender.Sender, ln net.Listener, requestedAt time.Time) {
 	ln.Close()
 	server.Drain()
 	ctx, cancel := context.WithTimeout(context.Background(), handOverClientTimeout)
@@ -185,7 +180,12 @@
 	server.Shutdown(ctx)
 	snd.HandOver(requestedAt)
 	<-snd.Done()
-	lingerCtx, cancelLinger := context.WithTimeout(ctx, handOverLingerTimeout)
-	defer cancelLinger()
-	server.WaitClosed(lingerCtx)
+}
+
+// lingerAfterHandOver waits for clients to close their connections, until shutdownTimeout after the stop was requested.
+// Closing at once would reset a connection on which bytes arrive at that moment.
+func lingerAfterHandOver(server *intake.Server, requestedAt time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), requestedAt.Add(shutdownTimeout))
+	defer cancel()
+	server.WaitClosed(ctx)
 }
