A takeover that fails is tried again and never stops the successor's steps

A second attempt would have found nothing. TestTakeOverWithoutDescriptors failed before (both submissions timed out), as did TestTakeOverAfterFailuresHasAllEntries (took over nothing); both pass.

--- a/cmd/sliptide/handover_test.go
+++ b/cmd/sliptide/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -16,7 +17,7 @@
 	*rig
 	successor     *exec.Cmd
 	successorLogs logBuffer
-	conn          net.Conn // to the old process
+	conn          net.Conn // to the old process, unless a test opens another
 	reader        *bufio.Reader
 }
 
@@ -30,7 +31,7 @@
 	}
 	t.Cleanup(func() { conn.Close() })
 	u.conn, u.reader = conn, bufio.NewReader(conn)
-	u.submitToOld("first", 0, 10) // the connection stays with the old process from here on
+	u.submitAccepted("first", 0, 10) // the connection stays with the old process from here on
 	u.expectCallFor("first").respond(200)
 	u.successor = u.startSuccessor(&u.successorLogs)
 	return u
@@ -50,19 +51,30 @@
 	return successor
 }
 
-// submitToOld submits a message to the old process, which must accept it, and returns its deadline.
-func (u *upgrade) submitToOld(id string, dest int, expiresIn float64) (deadline time.Time) {
+// submitAccepted submits a message on the connection, which must be accepted, and returns its deadline.
+func (u *upgrade) submitAccepted(id string, dest int, expiresIn float64) (deadline time.Time) {
 	u.t.Helper()
 	deadline = time.Now().Add(time.Duration(expiresIn * float64(time.Second)))
 	u.conn.SetDeadline(time.Now().Add(testTimeout))
+	if err := u.submitOn(id, dest, expiresIn); err != nil {
+		u.t.Fatalf("message %s: %v", id, err)
+	}
+	return deadline
+}
+
+// submitOn submits a message on the connection. It returns an error if the message is not accepted.
+func (u *upgrade) submitOn(id string, dest int, expiresIn float64) error {
 	fmt.Fprintf(u.conn, "POST /api HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: %s\r\nX-Qos: note\r\nX-Customer: acme\r\nX-Expires-In: %.3f\r\n"+
 		"Idempotency-Key: key-%s\r\nX-Route-To: dest=%d\r\nContent-Length: 0\r\n\r\n", id, expiresIn, id, dest)
 	resp, err := http.ReadResponse(u.reader, nil)
-	if err != nil || resp.StatusCode != 202 {
-		u.t.Fatalf("message %s: %v %v", id, resp, err)
+	if err != nil {
+		return err
 	}
 	resp.Body.Close()
-	return deadline
+	if resp.StatusCode != 202 {
+		return errors.New(resp.Status)
+	}
+	return nil
 }
 
 // expectNoticeBy waits for the notice of the message and fails the test if it comes later than endTolerance past the
@@ -78,9 +90,9 @@
 // Guards against messages that end too late since the process that holds them is handing over.
 func TestMessageDueDuringHandOverEndsInTime(t *testing.T) {
 	u := newUpgrade(t, "one", "one")
-	u.submitToOld("hangs", 0, 15) // its call keeps the old process from exiting
+	u.submitAccepted("hangs", 0, 15) // its call keeps the old process from exiting
 	u.expectCallFor("hangs")
-	due := u.submitToOld("due", 1, 1.8)
+	due := u.submitAccepted("due", 1, 1.8)
 	attempt := u.expectCallFor("due")
 	u.proc.Process.Signal(syscall.SIGTERM)
 	u.awaitLog(`"handing_over":true`)
@@ -96,7 +108,7 @@
 // Guards against messages that end too late since a successor accepted them before it took over.
 func TestMessageDueBeforeTakeOverEndsInTime(t *testing.T) {
 	u := newUpgrade(t, "one", "one")
-	u.submitToOld("hangs", 0, 15)
+	u.submitAccepted("hangs", 0, 15)
 	u.expectCallFor("hangs")
 	u.proc.Process.Signal(syscall.SIGTERM)
 	u.awaitLog(`"handing_over":true`) // its listener is closed: new connections go to the successor
@@ -108,11 +120,11 @@
 // Guards against an old process that is killed before it has written its last outcomes, since a client delayed its stop.
 func TestHandOverEndsBeforeKill(t *testing.T) {
 	u := newUpgrade(t, "one", "one")
-	u.submitToOld("slow", 1, 10)
+	u.submitAccepted("slow", 1, 10)
 	slow := u.expectCallFor("slow")
 	time.AfterFunc(time.Second, func() { slow.respond(200) }) // so slow that the next call may take longer than killDelay
 	u.awaitLog(`"end":"delivered","num":2,`)
-	u.submitToOld("hangs", 1, 15)
+	u.submitAccepted("hangs", 1, 15)
 	u.expectCallFor("hangs")
 	fmt.Fprint(u.conn, "POST /api HTTP/1.1\r\n") // half a request
 	u.proc.Process.Signal(syscall.SIGTERM)
@@ -126,7 +138,7 @@
 // Guards against a takeover that waits for clients of the old process that never close their connections.
 func TestTakeOverDoesNotWaitForClients(t *testing.T) {
 	u := newUpgrade(t, "one")
-	u.submitToOld("hangs", 0, 15)
+	u.submitAccepted("hangs", 0, 15)
 	hangs := u.expectCallFor("hangs")
 	u.proc.Process.Signal(syscall.SIGTERM)
 	u.awaitLog(`"handing_over":true`)
@@ -138,3 +150,39 @@
 	default:
 	}
 }
+
+// Guards against a successor that gives up the old process's messages, or stands still, since a file cannot be opened.
+func TestTakeOverWithoutDescriptors(t *testing.T) {
+	u := newUpgrade(t, "one", "one")
+	u.submitAccepted("hangs", 0, 15)
+	hangs := u.expectCallFor("hangs")
+	u.submitAccepted("held", 1, 15)
+	held := u.expectCallFor("held")
+	u.proc.Process.Signal(syscall.SIGTERM)
+	u.awaitLog(`"handing_over":true`)
+	held.respond(500) // the successor has to try it again
+	u.conn.Close()
+	conn, err := net.Dial("tcp", u.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	u.conn, u.reader = conn, bufio.NewReader(conn) // to the successor
+	u.submitAccepted("before", 0, 15)
+	restore := limitDescriptors(t, u.successor, 3)
+	hangs.respond(200)
+	u.successorLogs.await(t, "taking over from the old process failed")
+	for _, id := range []string{"during", "meanwhile"} {
+		conn.SetDeadline(time.Now().Add(clientTimeout))
+		if err := u.submitOn(id, 0, 15); err != nil {
+			t.Errorf("%s, while the successor cannot open files: %v", id, err)
+		}
+	}
+	restore()
+	waiting := map[string]bool{"held": true, "before": true, "during": true, "meanwhile": true}
+	for len(waiting) > 0 {
+		c := u.nextCall()
+		delete(waiting, c.id())
+		c.respond(200)
+	}
+}
--- a/cmd/sliptide/run.go
+++ b/cmd/sliptide/run.go
@@ -169,7 +169,7 @@
 	if dirLocks.waiting() {
 		next := &successor{dirLocks: dirLocks, cfg: cfg, op: op, space: space, journalAccount: journalAccount, clock: clock,
 			log: log, sender: snd, disabledStore: disabledStore, knowledge: knowledge, member: member}
-		go next.takeOver()
+		go next.takeOver(ctx)
 	} else if err := member.join(); err != nil {
 		return err
 	}
--- a/cmd/sliptide/soak_faults_test.go
+++ b/cmd/sliptide/soak_faults_test.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"sync"
 	"syscall"
+	"testing"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -181,15 +182,23 @@
 
 // exhaustDescriptors lowers a process's limit of open files for a while: accept, socket and open fail with EMFILE.
 func (n *soakNode) exhaustDescriptors(proc *exec.Cmd, d time.Duration) {
+	restore := limitDescriptors(n.t, proc, 8)
+	time.Sleep(d)
+	restore()
+}
+
+// limitDescriptors lowers a process's limit of open files until restore is called. It does nothing if the process has
+// ended.
+func limitDescriptors(t *testing.T, proc *exec.Cmd, limit uint64) (restore func()) {
+	t.Helper()
 	pid := proc.Process.Pid
 	var original unix.Rlimit
 	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &original); err != nil {
-		return // the process has just exited
+		return func() {}
 	}
-	lowered := unix.Rlimit{Cur: 8, Max: original.Max}
+	lowered := unix.Rlimit{Cur: limit, Max: original.Max}
 	unix.Prlimit(pid, unix.RLIMIT_NOFILE, &lowered, nil)
-	time.Sleep(d)
-	unix.Prlimit(pid, unix.RLIMIT_NOFILE, &original, nil)
+	return func() { unix.Prlimit(pid, unix.RLIMIT_NOFILE, &original, nil) }
 }
 
 // failDisk makes all writes to the sender's state directory fail for a while.
--- a/cmd/sliptide/upgrade.go
+++ b/cmd/sliptide/upgrade.go
@@ -13,9 +13,11 @@
 	"sliptide/internal/admin"
 	"sliptide/internal/config"
 	"sliptide/internal/intake"
+	"sliptide/internal/operate"
 	"sliptide/internal/operator"
 	"sliptide/internal/sender"
 	"sliptide/internal/statedir"
+	"sliptide/internal/transient"
 )
 
 // This file implements the process side of an upgrade. The new version of the program, the successor, starts while the
@@ -29,6 +31,8 @@
 	// takeOverTimeout limits a successor's wait for the state directory. The wait is far shorter in practice, since the
 	// old process is killed within seconds of the successor reporting ready.
 	takeOverTimeout = 24 * time.Hour
+
+	failureLogInterval = time.Second // minimum time between two log lines on failures of a takeover
 )
 
 // stateDirLocks holds this process's lock on the state directory or, in a waiting successor, the successor's lock. It
@@ -82,6 +86,15 @@
 	}
 }
 
+// promote makes the lock on the state directory this process's own, in place of the successor's lock.
+func (l *stateDirLocks) promote(lock *statedir.DirLock) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.dirLock = lock
+	l.successorLock.Unlock()
+	l.successorLock = nil
+}
+
 // knowledgeRef guards the sender's persistent knowledge, which a successor opens only when it takes over.
 type knowledgeRef struct {
 	mu        sync.Mutex
@@ -113,14 +126,19 @@
 	disabledStore  *admin.DisabledStore
 	knowledge      *knowledgeRef
 	member         *membership
+	lastLogged     time.Time // when logFailure last wrote
 }
 
-// takeOver waits until the old process has released the state directory, then makes this process the active sender.
-func (s *successor) takeOver() {
+// takeOver waits until the old process has released the state directory, then makes this process the active sender. What
+// fails is tried again until ctx ends: the messages of the old process are owed, and nobody else has them.
+func (s *successor) takeOver(ctx context.Context) {
 	waitedFrom := time.Now()
-	lock, err := statedir.Lock(s.cfg.StateDir, takeOverTimeout)
+	var lock *statedir.DirLock
+	err := transient.RetryAll(ctx, s.logFailure, func() (err error) {
+		lock, err = statedir.Lock(s.cfg.StateDir, takeOverTimeout)
+		return err
+	})
 	if err != nil {
-		s.log.Error().Err(err).Msg("upgrade: locking the state directory after the old process failed; this process sends nothing")
 		return
 	}
 	s.log.Info().Dur("waited_ms", time.Since(waitedFrom)).Msg("the old process has released the state directory: taking over")
@@ -134,22 +152,33 @@
 	if err != nil {
 		s.log.Warn().Err(err).Msg("upgrade: reading the endpoints disabled by operators failed")
 	}
-	if err := s.sender.TakeOver(knowledge.Knowledge, disabled); err != nil {
-		s.log.Error().Err(err).Msg("upgrade: taking over the old process's journal failed")
+	if s.takeOverMessages(ctx, knowledge.Knowledge, disabled) != nil {
+		return
 	}
 	if err := lock.SetHolder(holderText(s.cfg.ListenAddr)); err != nil {
 		s.log.Warn().Err(err).Msg("state directory: writing the lock's holder failed; an upgrade cannot start beside this process")
 	}
-	s.dirLocks.mu.Lock()
-	s.dirLocks.dirLock = lock
-	s.dirLocks.successorLock.Unlock()
-	s.dirLocks.successorLock = nil
-	s.dirLocks.mu.Unlock()
+	s.dirLocks.promote(lock)
 	if err := s.member.join(); err != nil {
 		s.log.Error().Err(err).Msg("upgrade: joining the fleet failed; the fleet goes on without this sender")
 	}
 }
 
+// takeOverMessages makes the sender take over the journal of the old process. It returns an error if the sender or this
+// process has stopped first.
+func (s *successor) takeOverMessages(ctx context.Context, knowledge sender.Knowledge, disabled operate.DisabledSet) error {
+	return transient.RetryAll(ctx, s.logFailure, func() error { return s.sender.TakeOver(knowledge, disabled) })
+}
+
+// logFailure logs an error of the takeover, at most once in failureLogInterval.
+func (s *successor) logFailure(err error) {
+	if time.Since(s.lastLogged) < failureLogInterval {
+		return
+	}
+	s.lastLogged = time.Now()
+	s.log.Error().Err(err).Msg("upgrade: taking over from the old process failed, retrying; this process sends nothing yet")
+}
+
 // listen listens for clients with SO_REUSEPORT, since a successor starts while the old process still listens on the
 // address.
 func listen(addr string) (net.Listener, error) {
--- a/internal/journal/faults_test.go
+++ b/internal/journal/faults_test.go
@@ -110,3 +110,50 @@
 		}
 	}
 }
+
+// Guards against a takeover that loses the predecessor's entries since a file cannot be read or written for a while.
+func TestTakeOverAfterFailuresHasAllEntries(t *testing.T) {
+	dir := t.TempDir()
+	current, _ := open(t, dir, 1<<20)
+	current.Accept(&Entry{Num: current.NextNumber(), Trace: "held", Deadline: 1})
+	if err := current.Close(); err != nil {
+		t.Fatal(err)
+	}
+	var failing string // the operation that fails
+	files := &fsys.Faulty{FS: fsys.OS{Dir: dir}, Inject: func(_ int, op, _ string) fsys.Fault {
+		if op == failing {
+			return fsys.Fault{Err: syscall.EACCES}
+		}
+		return fsys.Fault{}
+	}}
+	successor, err := OpenSuccessor(files, statedir.NewSpace(1<<20).Account())
+	if err != nil {
+		t.Fatal(err)
+	}
+	successor.Accept(&Entry{Num: successor.NextNumber(), Trace: "own", Deadline: 1})
+	if err := successor.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	failing = "read"
+	if _, err := successor.TakeOver(); err == nil {
+		t.Fatal("no error although the predecessor's file cannot be read")
+	}
+	failing = "open"
+	if list, err := successor.TakeOver(); err != nil || len(list) != 1 || list[0].Trace != "held" {
+		t.Fatalf("took over %+v, error %v; want the predecessor's message", list, err)
+	}
+	if err := successor.Flush(); err == nil {
+		t.Error("Flush reports no error although the merged file is not written")
+	}
+	failing = ""
+	if err := successor.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	next, err := OpenSuccessor(fsys.OS{Dir: dir}, statedir.NewSpace(1<<20).Account()) // overwrites the successor's file
+	if err != nil {
+		t.Fatal(err)
+	}
+	if list, err := next.TakeOver(); err != nil || len(list) != 2 {
+		t.Errorf("the next successor took over %+v, error %v; want both messages", list, err)
+	}
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -105,7 +105,7 @@
 	nextNumber uint64
 }
 
-// readRetryTimeout limits how long reading a journal's file is retried, at startup and in TakeOver.
+// readRetryTimeout limits how long reading a journal's file is retried at startup.
 const readRetryTimeout = 10 * time.Second
 
 // Open replays the journal in dir and compacts it. It returns the live entries
@@ -170,12 +170,18 @@
 	j.file, j.size, j.torn = f, int64(valid), len(data) > valid
 }
 
-// readWithRetry returns a file's contents, nil if the file does not exist.
+// readWithRetry is readFile, retried for up to readRetryTimeout.
 func readWithRetry(files fsys.FS, name string) (data []byte, err error) {
 	err = transient.Retry(readRetryTimeout, transient.IsDiskError, func() error {
-		data, err = files.Read(name)
+		data, err = readFile(files, name)
 		return err
 	})
+	return data, err
+}
+
+// readFile returns a file's contents, nil if the file does not exist.
+func readFile(files fsys.FS, name string) ([]byte, error) {
+	data, err := files.Read(name)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	}
@@ -211,13 +217,13 @@
 
 // TakeOver turns a successor's journal into the main journal, once the predecessor has exited: the predecessor's
 // entries are merged, and the merged file replaces the main one. It returns the predecessor's entries, in the order
-// of their numbers; nil if this is the main journal already. If the directory is temporarily not writable, no records
-// are written until it is.
+// of their numbers; nil if this is the main journal already. If the predecessor's file can't be read, it returns an
+// error and changes nothing: it may be called again. If the merged file can't be written, the next Flush tries again.
 func (j *Journal) TakeOver() ([]*Entry, error) {
 	if j.name == fileName {
 		return nil, nil
 	}
-	data, err := readWithRetry(j.files, fileName)
+	data, err := readFile(j.files, fileName)
 	if err != nil {
 		return nil, err
 	}
@@ -229,9 +235,6 @@
 	}
 	j.name, j.superseded = fileName, []string{successorName}
 	if err := j.compact(); err != nil { // replaces the predecessor's file atomically
-		if !transient.IsDiskError(err) {
-			return nil, fmt.Errorf("journal: compact: %w", err)
-		}
 		j.closeFile()
 	}
 	j.claimSpace(0, 0)
@@ -500,7 +503,7 @@
 // Flush writes the records added since the last call. After an error all of them are kept for the next call, and the
 // file is truncated to its previous length, at the latest before the next append.
 func (j *Journal) Flush() error {
-	if len(j.buf) == 0 {
+	if len(j.buf) == 0 && j.file != nil {
 		return nil
 	}
 	if err := j.flush(); err != nil {
--- a/internal/sender/calls.go
+++ b/internal/sender/calls.go
@@ -17,10 +17,10 @@
 
 // The causes.
 const (
-	skipNone        skipCause = iota // it begins
-	skipEnded                        // the message has ended
-	skipInProgress                   // an attempt of the message is in progress
-	skipNoAddress                    // the endpoint is not listed
+	skipNone       skipCause = iota // it begins
+	skipEnded                       // the message has ended
+	skipInProgress                  // an attempt of the message is in progress
+	skipNoAddress                   // the endpoint is not listed
 )
 
 var skipCauseNames = [...]string{"none", "message ended", "attempt in progress", "endpoint not listed"}
--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -30,7 +30,7 @@
 	case err := <-req.done:
 		return err
 	case <-s.done:
-		return errStopped
+		return ErrStopped
 	}
 }
 
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -37,8 +37,8 @@
 // MaxDestinations limits the destinations that a sender serves; messages for further ones are refused.
 const MaxDestinations = 1 << 12
 
-// errStopped is returned by requests that arrive after the sender has exited.
-var errStopped = errors.New("the sender has stopped")
+// ErrStopped is returned by requests that arrive after the sender has exited.
+var ErrStopped = errors.New("the sender has stopped")
 
 // Message is a message submitted by a client, independent of the client's protocol. Its fields may be slices of the
 // read buffer: the sender copies them when it accepts the message.
--- a/internal/sender/upgrade.go
+++ b/internal/sender/upgrade.go
@@ -22,7 +22,8 @@
 
 // TakeOver makes a successor the active sender after the running version has released the state directory. knowledge is
 // that version's knowledge and disabled the endpoints disabled by operators, both read again from the directory. It
-// returns when all of it has been applied, or an error if the sender has stopped or the journal can't be read.
+// returns when all of it has been applied. It returns ErrStopped if the sender has stopped, or an error if the journal
+// can't be read: then nothing has been applied, and it may be called again.
 func (s *Sender) TakeOver(knowledge Knowledge, disabled operate.DisabledSet) error {
 	t := &upgradeTakeover{knowledge: knowledge, disabled: disabled, done: make(chan error, 1)}
 	s.post(input{upgrade: t})
@@ -30,7 +31,7 @@
 	case err := <-t.done:
 		return err
 	case <-s.done:
-		return errStopped
+		return ErrStopped
 	}
 }
 
--- a/internal/transient/transient.go
+++ b/internal/transient/transient.go
@@ -2,6 +2,7 @@
 package transient
 
 import (
+	"context"
 	"errors"
 	"syscall"
 	"time"
@@ -48,3 +49,20 @@
 		}
 	}
 }
+
+// RetryAll calls op until it succeeds or ctx ends, whatever its errors are, and waits for RetryInterval between two
+// calls. It passes each error to report. It returns the last error, nil after a success.
+func RetryAll(ctx context.Context, report func(error), op func() error) error {
+	for {
+		err := op()
+		if err == nil {
+			return nil
+		}
+		report(err)
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(RetryInterval):
+		}
+	}
+}
