Knowledge: a file that can't be read for a moment is read again and never set aside

Change: reads are tried again for 250 ms, and a file that stays unreadable for such an error is left where it is. TestTransientReadErrorLosesNoFacts failed before for all three errors (0 waits, also once the file was readable again), and passes.

--- a/internal/knowledge/store/store.go
+++ b/internal/knowledge/store/store.go
@@ -9,10 +9,12 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"time"
 
 	"sliptide/internal/fsys"
 	"sliptide/internal/knowledge"
 	"sliptide/internal/statedir"
+	"sliptide/internal/transient"
 )
 
 // Names of the files.
@@ -52,7 +54,7 @@
 	File          string
 	Err           error
 	SetAside      bool // the file was renamed to knowledge.bad
-	LeftUntouched bool // the file is of a newer format and stays
+	LeftUntouched bool // the file stays: it is of a newer format, or may be readable later
 }
 
 // Open reads the files and returns their merged facts, empty if there are none, and what was wrong with the files. The
@@ -96,10 +98,17 @@
 // SetSync sets whether further writes are synced.
 func (s *Store) SetSync(sync bool) { s.sync = sync }
 
+// readRetryTimeout limits how long reading a file is retried. Messages that a successor takes over wait for it.
+const readRetryTimeout = 250 * time.Millisecond
+
 // readFile reads one file. It returns nil if the file does not exist or cannot be read; in the latter case the file
-// is set aside, unless it is of a newer format.
+// is set aside, unless it is of a newer format or may be readable later.
 func (s *Store) readFile(name string) (*knowledge.Facts, []Problem) {
-	data, err := s.fs.Read(name)
+	var data []byte
+	err := transient.Retry(readRetryTimeout, transient.IsDiskError, func() (err error) {
+		data, err = s.fs.Read(name)
+		return err
+	})
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	}
@@ -111,6 +120,10 @@
 		return facts, nil
 	}
 	problem := Problem{File: name, Err: err}
+	if transient.IsDiskError(err) {
+		problem.LeftUntouched = true
+		return nil, []Problem{problem}
+	}
 	if errors.Is(err, ErrNewerFormat) {
 		s.newerFormat[name], problem.LeftUntouched = true, true
 		return nil, []Problem{problem}
--- a/internal/knowledge/store/store_test.go
+++ b/internal/knowledge/store/store_test.go
@@ -241,6 +241,40 @@
 	}
 }
 
+// Guards against requested waits that are lost since their file could not be opened for a moment.
+func TestTransientReadErrorLosesNoFacts(t *testing.T) {
+	files := fsys.OS{Dir: t.TempDir()}
+	s, _, _ := openIn(t, files)
+	if err := errors.Join(s.SaveSnapshot(sample(0)), s.SaveWaits(sample(1))); err != nil {
+		t.Fatal(err)
+	}
+	for _, failure := range []error{syscall.EMFILE, syscall.EIO, syscall.EINTR} {
+		failed := map[string]bool{}
+		once := &fsys.Faulty{FS: files, Inject: func(_ int, op, name string) fsys.Fault {
+			if op != "read" || failed[name] {
+				return fsys.Fault{}
+			}
+			failed[name] = true
+			return fsys.Fault{Err: failure}
+		}}
+		if _, facts, problems := openIn(t, once); len(facts.Waits) != 2 || len(facts.Dests) != 1 || len(problems) > 0 {
+			t.Errorf("%v once: %d waits, %d destinations, problems %+v; want all of them and no problem", failure, len(facts.Waits), len(facts.Dests), problems)
+		}
+		always := &fsys.Faulty{FS: files, Inject: func(_ int, op, name string) fsys.Fault {
+			if op == "read" && name == WaitsName {
+				return fsys.Fault{Err: failure}
+			}
+			return fsys.Fault{}
+		}}
+		if _, _, problems := openIn(t, always); len(problems) != 1 || !problems[0].LeftUntouched {
+			t.Errorf("%v always: problems %+v, want one whose file is left untouched", failure, problems)
+		}
+	}
+	if _, facts, _ := openIn(t, files); len(facts.Waits) != 2 {
+		t.Errorf("%d waits once the file can be read again, want 2", len(facts.Waits))
+	}
+}
+
 // A file of a newer format is never changed or removed, whatever is saved meanwhile.
 func TestNewerFormat(t *testing.T) {
 	dir := t.TempDir()
