A start waits for a takeover that is going on, and leaves the directory to its successor

Change: a start tries again for up to 5 s while a successor holds its lock, and never takes the directory before that one. TestStartDuringTakeOver failed before (the third process ended at once) and passes, as does TestFreeStateDirIsLeftToWaitingSuccessor.

--- a/cmd/sliptide/handover_test.go
+++ b/cmd/sliptide/handover_test.go
@@ -10,6 +10,10 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/rs/zerolog"
+
+	"sliptide/internal/statedir"
 )
 
 // upgrade runs a sender's old process and, beside it, its successor.
@@ -39,6 +43,15 @@
 
 // startSuccessor starts a further process of the sender and waits until it has started.
 func (r *rig) startSuccessor(logs *logBuffer) *exec.Cmd {
+	r.t.Helper()
+	successor := r.launchSuccessor(logs)
+	r.t.Cleanup(func() { successor.Process.Kill(); successor.Wait() })
+	logs.await(r.t, `"started"`)
+	return successor
+}
+
+// launchSuccessor starts a further process of the sender. It is killed at the end of the test.
+func (r *rig) launchSuccessor(logs *logBuffer) *exec.Cmd {
 	r.t.Helper()
 	successor := exec.Command(r.proc.Path, r.proc.Args[1:]...)
 	successor.Env = r.proc.Env
@@ -46,8 +59,7 @@
 	if err := successor.Start(); err != nil {
 		r.t.Fatal(err)
 	}
-	r.t.Cleanup(func() { successor.Process.Kill(); successor.Wait() })
-	logs.await(r.t, `"started"`)
+	r.t.Cleanup(func() { successor.Process.Kill() })
 	return successor
 }
 
@@ -186,3 +198,48 @@
 		c.respond(200)
 	}
 }
+
+// Guards against a process that cannot start, or takes the directory, while another one is about to take over.
+func TestStartDuringTakeOver(t *testing.T) {
+	u := newUpgrade(t, "one")
+	u.submitAccepted("hangs", 0, 15)
+	hangs := u.expectCallFor("hangs")
+	u.proc.Process.Signal(syscall.SIGTERM)
+	u.awaitLog(`"handing_over":true`)
+	var logs logBuffer
+	third := u.launchSuccessor(&logs)
+	ended := make(chan struct{})
+	go func() { third.Wait(); close(ended) }()
+	logs.await(t, "another process is about to take over")
+	hangs.respond(200)
+	u.successorLogs.await(t, "took over from the previous version")
+	logs.await(t, `"started"`)
+	u.successor.Process.Signal(syscall.SIGTERM)
+	logs.await(t, "took over from the previous version")
+	select {
+	case <-ended:
+		t.Errorf("the third process has ended: %s", logs.String())
+	default:
+	}
+}
+
+// Guards against a start that takes the state directory from a successor which waits for it.
+func TestFreeStateDirIsLeftToWaitingSuccessor(t *testing.T) {
+	dir, log := t.TempDir(), zerolog.Nop()
+	successorLock, err := statedir.LockSuccessor(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if locks, err := tryLockStateDir(dir, "127.0.0.1:1", log); !errors.Is(err, statedir.ErrSuccessorWaiting) {
+		t.Fatalf("locks %+v, error %v while a successor waits, want ErrSuccessorWaiting", locks, err)
+	}
+	lock, err := statedir.Lock(dir, 0)
+	if err != nil {
+		t.Fatalf("the directory is not free for the successor: %v", err)
+	}
+	lock.Unlock()
+	successorLock.Unlock()
+	if locks, err := tryLockStateDir(dir, "127.0.0.1:1", log); err != nil || locks.waiting() {
+		t.Errorf("locks %+v, error %v without a successor, want the directory", locks, err)
+	}
+}
--- a/cmd/sliptide/upgrade.go
+++ b/cmd/sliptide/upgrade.go
@@ -32,6 +32,9 @@
 	// old process is killed within seconds of the successor reporting ready.
 	takeOverTimeout = 24 * time.Hour
 
+	// successorLockTimeout limits the wait of a starting process for another one that is about to take over.
+	successorLockTimeout = 5 * time.Second
+
 	failureLogInterval = time.Second // minimum time between two log lines on failures of a takeover
 )
 
@@ -45,9 +48,33 @@
 }
 
 // lockStateDir locks the state directory. If the same sender, with the same address for clients, holds that lock, this
-// process is a new version started beside it and takes the successor's lock instead. Any other holder is an error.
-func lockStateDir(dir, listen string, log zerolog.Logger) (*stateDirLocks, error) {
+// process is a new version started beside it and takes the successor's lock instead. Any other holder is an error. While
+// another process is about to take over, lockStateDir waits for that, up to successorLockTimeout.
+func lockStateDir(dir, listen string, log zerolog.Logger) (locks *stateDirLocks, err error) {
+	logged := false
+	takingOver := func(err error) bool {
+		waits := errors.Is(err, statedir.ErrSuccessorWaiting)
+		if waits && !logged {
+			log.Info().Msg("another process is about to take over the state directory; waiting for it")
+			logged = true
+		}
+		return waits
+	}
+	err = transient.Retry(successorLockTimeout, takingOver, func() error {
+		locks, err = tryLockStateDir(dir, listen, log)
+		return err
+	})
+	return locks, err
+}
+
+// tryLockStateDir is lockStateDir without the wait: it returns statedir.ErrSuccessorWaiting instead. The directory is
+// not taken from a process that waits for it, since that one has a journal of its own there.
+func tryLockStateDir(dir, listen string, log zerolog.Logger) (*stateDirLocks, error) {
 	lock, err := statedir.Lock(dir, 0)
+	if err == nil && statedir.SuccessorWaiting(dir) {
+		lock.Unlock()
+		return nil, statedir.ErrSuccessorWaiting
+	}
 	if err == nil {
 		if err := lock.SetHolder(holderText(listen)); err != nil {
 			// Only a later upgrade needs the holder's text.
--- a/internal/statedir/statedir.go
+++ b/internal/statedir/statedir.go
@@ -48,8 +48,11 @@
 // successorLockName names the lock file of a process that starts while its predecessor still holds the directory.
 const successorLockName = "lock.heir"
 
+// ErrSuccessorWaiting is returned when another process waits to take over the directory.
+var ErrSuccessorWaiting = errors.New("a new version is already starting")
+
 // LockSuccessor takes the directory's successor lock, for a process that starts while its predecessor still
-// runs. Only one process can hold it. LockSuccessor does not wait: it returns ErrInUse if another
+// runs. Only one process can hold it. LockSuccessor does not wait: it returns ErrSuccessorWaiting if another
 // successor holds the lock.
 func LockSuccessor(dir string) (*DirLock, error) {
 	f, err := os.OpenFile(filepath.Join(dir, successorLockName), os.O_RDWR|os.O_CREATE, 0o600)
@@ -59,7 +62,7 @@
 	if err := tryLock(f); err != nil {
 		f.Close()
 		if err == syscall.EWOULDBLOCK {
-			return nil, fmt.Errorf("state directory %s: a new version is already starting: %w", dir, ErrInUse)
+			return nil, fmt.Errorf("state directory %s: %w", dir, ErrSuccessorWaiting)
 		}
 		return nil, fmt.Errorf("state directory %s: lock: %w", dir, err)
 	}
