A message that the decision module has lost track of is ended 100 ms past its deadline

Change: the sender ends a message that is still held 100 ms past its deadline (300 ms are allowed), with a notice, and logs an error with the message's number, attempts and whether a call is in progress; it looks only when such a time is due. TestMessageUnknownToModuleEnds has no notice without it (seen, after 10 s), and passes.

--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"errors"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -205,6 +206,7 @@
 	handingOver     bool      // stopping for a waiting successor: no further call begins
 	clientsGone     bool      // no further submissions or withdrawals follow
 
+	overdueCheckAt  float64     // when endOverdue looks next, by clock; +Inf: no message is held
 	lateEndings     lateEndings // since the last report
 	lateEndingCount uint64      // messages of this process that ended past their deadline
 }
@@ -242,6 +244,7 @@
 		successor:      o.Successor,
 		calls:          map[*outbound.Call]bool{},
 		timer:          time.NewTimer(time.Hour),
+		overdueCheckAt: math.Inf(1),
 	}
 	s.classes.Store(newClassTable(o.Settings.Classes))
 	s.settings.Classes = s.classes.Load().all
@@ -298,6 +301,7 @@
 		class = s.unknownClass()
 	}
 	s.messages[e.Num] = &message{Entry: e, class: class}
+	s.watchDeadline(s.messages[e.Num])
 	s.numByTrace[e.Trace] = e.Num
 	s.stormGuard.AdjustHeld(s.now, e.Dest, 1)
 	s.observeAccepted(e, class, true)
@@ -408,6 +412,7 @@
 	s.stepCopies()
 	s.releaseLeavingShards(false)
 	s.endExpiredAttempts()
+	s.endOverdue()
 	s.applyStormThrottles()
 	s.module.SetHalted(s.journalFailed || s.sendingEnded())
 	s.actions = s.module.Step(s.now, s.events, s.actions[:0])
@@ -485,6 +490,7 @@
 	if !s.stopRequestedAt.IsZero() {
 		wait = min(wait, 50*time.Millisecond) // the conditions of the exit are polled
 	}
+	wait = min(wait, fromMillis(min(s.overdueCheckAt-s.clock.Now(), 1e6)))
 	wait = min(wait, fromMillis(min(s.stormGuard.NextDue()-s.clock.Now(), 1e6)))
 	if s.trials != nil {
 		wait = min(wait, fromMillis(min(s.trials.state.NextChange()-s.clock.Now(), 1e6)))
--- a/internal/sender/stopping_test.go
+++ b/internal/sender/stopping_test.go
@@ -146,6 +146,22 @@
 	}
 }
 
+// Guards against messages that have no end since the module has lost track of them.
+func TestMessageUnknownToModuleEnds(t *testing.T) {
+	s := newTestSender(t, t.TempDir(), "", testSettings())
+	s.listEndpointAs(policy.Draining, listen(t).Addr().String())
+	verdict := s.submit("lost", 1, 300*time.Millisecond)
+	s.runStep()
+	if !(<-verdict).Accepted {
+		t.Fatal("the message is refused")
+	}
+	s.module.Step(s.now, []policy.Event{{Kind: policy.EvWithdrawn, ID: s.numByTrace["lost"]}}, nil)
+	s.await("the message has no notice", func() bool { return len(s.notices) > 0 })
+	if late := s.now - float64(s.pendingNotices[(<-s.notices).Num].Deadline); late > 300 {
+		t.Errorf("the notice comes %.0f ms after the deadline, want 300 at most", late)
+	}
+}
+
 // Guards against messages that the module orders to be sent while a stopping sender begins no calls, and that never end.
 func TestMessageDueWhileNoCallBeginsEnds(t *testing.T) {
 	for name, stop := range map[string]func(s *testSender){
--- a/internal/sender/submissions.go
+++ b/internal/sender/submissions.go
@@ -81,6 +81,7 @@
 	}
 	s.journal.Accept(e)
 	s.messages[e.Num] = &message{Entry: e, class: m.Class, acceptedAt: s.now, claim: s.claimFor(m)}
+	s.watchDeadline(s.messages[e.Num])
 	s.numByTrace[e.Trace] = e.Num
 	s.observeAccepted(e, m.Class, false)
 	s.submissions = append(s.submissions, &pendingSubmission{submission: sub, entry: e})
@@ -148,13 +149,9 @@
 			return
 		}
 	}
-	s.dropUnsent(m.call)
-	s.ended.add(m.Trace, s.now)
-	s.forget(m)
-	ending := journal.EndingAbandoned
 	if a.Kind == policy.ActRefuse {
-		ending = journal.EndingReturned
+		s.abandon(m, journal.EndingReturned, telemetry.EndingReturned, retryAfterMS)
+		return
 	}
-	s.observeMessageEnd(m.Entry, [...]telemetry.Ending{journal.EndingAbandoned: telemetry.EndingAbandoned, journal.EndingReturned: telemetry.EndingReturned}[ending], retryAfterMS)
-	s.endWithNotice(m.Entry, ending, retryAfterMS)
+	s.abandon(m, journal.EndingAbandoned, telemetry.EndingAbandoned, retryAfterMS)
 }
