A stopping sender closes the calls in progress before the next process may repeat them

Since the old process releases the state directory before it waits for its clients, its successor could repeat such a message while the old connection was still open, up to 0.2 s long: two attempts at once. TestCallInProgressIsClosedAtExit failed before (the connection was still open after a second), and passes.

--- a/internal/sender/stopping.go
+++ b/internal/sender/stopping.go
@@ -49,6 +49,7 @@
 }
 
 // shutDown journals, for the next process, the outcomes that came after the last step, and that unsent calls never ran.
+// It closes the connections of the calls that are still in progress.
 // Without this the journal would say of messages that were delivered, or surely not sent, that they may have run: the
 // next process would repeat them, or abandon them where their class forbids repeats. Queued submissions that are not in
 // the journal are left: their clients are refused.
@@ -67,7 +68,9 @@
 		break
 	}
 	for c := range s.calls {
-		s.dropUnsent(c)
+		if !s.dropUnsent(c) {
+			c.Abandon() // the next process may repeat its messages once no connection carries them
+		}
 	}
 	s.failHolderWaits()
 	if err := s.journal.Flush(); err != nil {
--- a/internal/sender/stopping_test.go
+++ b/internal/sender/stopping_test.go
@@ -1,6 +1,7 @@
 package sender
 
 import (
+	"io"
 	"testing"
 	"time"
 
@@ -185,3 +186,28 @@
 		})
 	}
 }
+
+// Guards against two attempts at once: a successor repeats a message while the old process still has its call open.
+func TestCallInProgressIsClosedAtExit(t *testing.T) {
+	ln := listen(t)
+	s := newTestSender(t, t.TempDir(), ln.Addr().String(), testSettings())
+	s.submit("hangs", 1, 20*time.Second)
+	s.runStep()
+	conn, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetReadDeadline(time.Now().Add(testTimeout))
+	if _, err := conn.Read(make([]byte, 1)); err != nil { // the call has begun
+		t.Fatal(err)
+	}
+	s.shutDown()
+	conn.SetReadDeadline(time.Now().Add(time.Second)) // sooner than the call times out
+	if _, err := io.Copy(io.Discard, conn); err != nil {
+		t.Errorf("the connection of the call is still open: %v", err)
+	}
+	if e := s.reopenJournal()["hangs"]; e == nil || e.MayHaveRunAt == 0 {
+		t.Errorf("%+v, want an entry that may have run", e)
+	}
+}
