--- /dev/null
+++ b/internal/journal/open.go
@@ -0,0 +1,150 @@
+package journal
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"time"
+
+	"sliptide/internal/fsys"
+	"sliptide/internal/statedir"
+	"sliptide/internal/transient"
+)
+
+// This file opens journals: at a start, beside a predecessor, and when a successor takes over.
+
+// readRetryTimeout limits how long reading a journal's file is retried at startup.
+const readRetryTimeout = 10 * time.Second
+
+// Open replays the journal in dir and compacts it. It returns the live entries
+// in the order in which they were accepted. A torn or damaged tail is ignored: its
+// records were never acknowledged to a client.
+//
+// If a successor left a journal of its own behind, its records are merged. They are replayed first: if the
+// successor did take over, the main journal holds the later records.
+func Open(dir string, account *statedir.Account) (*Journal, []*Entry, error) {
+	return OpenFS(fsys.OS{Dir: dir}, account)
+}
+
+// OpenFS is like Open, on the given files. If the directory is temporarily not writable, the entries are returned all
+// the same, and the first successful Flush catches up on the writes.
+func OpenFS(files fsys.Opener, account *statedir.Account) (*Journal, []*Entry, error) {
+	j := &Journal{files: files, name: fileName, account: account, live: map[uint64]*Entry{}, nextNumber: 1}
+	// A process that died during a compaction leaves its unfinished file behind; the journals themselves are intact. A
+	// file that can't be removed is overwritten by the next compaction.
+	files.Remove(fileName + newSuffix)
+	files.Remove(successorName + newSuffix)
+	successorData, err := readWithRetry(files, successorName)
+	if err != nil {
+		return nil, nil, err
+	}
+	data, err := readWithRetry(files, fileName)
+	if err != nil {
+		return nil, nil, err
+	}
+	j.replay(successorData)
+	j.replay(data)
+	for _, e := range j.live {
+		e.endAttempt(true)
+	}
+	j.size = int64(len(successorData) + len(data))
+	if successorData != nil {
+		j.superseded = []string{successorName}
+	}
+	err = j.compact()
+	switch {
+	case err == nil:
+	case !transient.IsDiskError(err):
+		return nil, nil, fmt.Errorf("journal: compact: %w", err)
+	case successorData == nil && j.file == nil:
+		j.reopen()
+	}
+	j.claimSpace(0, 0)
+	return j, j.entries(), nil
+}
+
+// reopen opens the existing file for appending. The file is read again, because the failed compaction may have replaced
+// it all the same. If that fails too, a compaction must come before the next append.
+func (j *Journal) reopen() {
+	data, err := j.files.Read(j.name)
+	if err != nil {
+		return
+	}
+	f, err := j.files.Open(j.name, false)
+	if err != nil {
+		return
+	}
+	valid := (&Journal{live: map[uint64]*Entry{}}).replay(data)
+	j.file, j.size, j.torn = f, int64(valid), len(data) > valid
+}
+
+// readWithRetry is readFile, retried for up to readRetryTimeout.
+func readWithRetry(files fsys.FS, name string) (data []byte, err error) {
+	err = transient.Retry(readRetryTimeout, transient.IsDiskError, func() error {
+		data, err = readFile(files, name)
+		return err
+	})
+	return data, err
+}
+
+// readFile returns a file's contents, nil if the file does not exist.
+func readFile(files fsys.FS, name string) ([]byte, error) {
+	data, err := files.Read(name)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("journal: read %s: %w", name, err)
+	}
+	return data, nil
+}
+
+// successorNumberGap separates the message numbers of a successor from those of the current process, which assigns
+// further numbers while both run.
+const successorNumberGap = 1 << 32
+
+// OpenSuccessor creates the journal of a process that starts while its predecessor still uses the state directory: an
+// empty file of its own, whose numbers lie above all those in the predecessor's journal.
+func OpenSuccessor(files fsys.Opener, account *statedir.Account) (*Journal, error) {
+	data, err := readWithRetry(files, fileName)
+	if err != nil {
+		return nil, err
+	}
+	current := &Journal{live: map[uint64]*Entry{}, nextNumber: 1}
+	current.replay(data)
+	j := &Journal{
+		files: files, name: successorName, account: account, live: map[uint64]*Entry{},
+		nextNumber: current.nextNumber + successorNumberGap,
+	}
+	if err := j.compact(); err != nil && !transient.IsDiskError(err) {
+		return nil, fmt.Errorf("journal: compact: %w", err)
+	}
+	j.claimSpace(0, 0)
+	return j, nil
+}
+
+// TakeOver turns a successor's journal into the main journal, once the predecessor has exited: the predecessor's
+// entries are merged, and the merged file replaces the main one. It returns the predecessor's entries, in the order
+// of their numbers; nil if this is the main journal already. If the predecessor's file can't be read, it returns an
+// error and changes nothing: it may be called again. If the merged file can't be written, the next Flush tries again.
+func (j *Journal) TakeOver() ([]*Entry, error) {
+	if j.name == fileName {
+		return nil, nil
+	}
+	data, err := readFile(j.files, fileName)
+	if err != nil {
+		return nil, err
+	}
+	previous := &Journal{live: map[uint64]*Entry{}, nextNumber: 1}
+	previous.replay(data)
+	for _, e := range previous.live {
+		e.endAttempt(true)
+		j.live[e.Num] = e
+	}
+	j.name, j.superseded = fileName, []string{successorName}
+	if err := j.compact(); err != nil { // replaces the predecessor's file atomically
+		j.closeFile()
+	}
+	j.claimSpace(0, 0)
+	return previous.entries(), nil
+}
