What a successor accepted before it died is kept by the next one

The next successor began that file anew: messages that had been answered 202 had no end. TestSuccessorDiesBeforeTakeOver failed before (not all of 20 accepted messages were called within 15 s), and passes.

--- a/cmd/sliptide/handover_test.go
+++ b/cmd/sliptide/handover_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os/exec"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -243,3 +244,42 @@
 		t.Errorf("locks %+v, error %v without a successor, want the directory", locks, err)
 	}
 }
+
+// Guards against messages that a successor accepted and that nobody has after it died before it took over.
+func TestSuccessorDiesBeforeTakeOver(t *testing.T) {
+	u := newUpgrade(t, "one")
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}} // reaches either process
+	called := map[string]int{}
+	for i := range 20 {
+		id := fmt.Sprint("m-", i)
+		q, _ := http.NewRequest("POST", "http://"+u.addr+"/api", nil)
+		for k, v := range map[string]string{"X-Trace-Id": id, "X-Qos": "note", "X-Customer": "acme", "Idempotency-Key": "k" + id,
+			"X-Expires-In": "15", "X-Route-To": "dest=0"} {
+			q.Header.Set(k, v)
+		}
+		resp, err := client.Do(q)
+		if err != nil || resp.StatusCode != 202 {
+			t.Fatalf("%s: %v %v", id, resp, err)
+		}
+		resp.Body.Close()
+		called[id] = 0
+	}
+	u.successor.Process.Kill()
+	var logs logBuffer
+	u.startSuccessor(&logs)
+	u.proc.Process.Signal(syscall.SIGTERM)
+	for left := len(called); left > 0; left-- {
+		c := u.nextCall()
+		called[c.id()]++
+		c.respond(200)
+	}
+	u.await(u.exited, "the old process exits")
+	for id, n := range called {
+		if n != 1 {
+			t.Errorf("%s called %d times, want once", id, n)
+		}
+	}
+	if !strings.Contains(logs.String(), `"restored":`) || strings.Contains(logs.String(), `"restored":0,"listen"`) {
+		t.Error("the dead successor had accepted nothing, so that the test shows nothing")
+	}
+}
--- a/cmd/sliptide/run.go
+++ b/cmd/sliptide/run.go
@@ -266,8 +266,7 @@
 	journalAccount *statedir.Account, clock sender.Clock, knowledge *knowledgeRef, log zerolog.Logger) (*journal.Journal, []*journal.Entry, error) {
 	if dirLocks.waiting() {
 		log.Info().Msg("an older process of this sender holds the state directory; starting as its successor")
-		jrnl, err := journal.OpenSuccessor(fsys.ForDir(cfg.StateDir), journalAccount)
-		return jrnl, nil, err
+		return journal.OpenSuccessor(fsys.ForDir(cfg.StateDir), journalAccount)
 	}
 	opened := openKnowledge(cfg, op.Knowledge, space, clock, log)
 	opened.account.YieldTo(journalAccount)
--- a/internal/journal/faults_test.go
+++ b/internal/journal/faults_test.go
@@ -126,7 +126,7 @@
 		}
 		return fsys.Fault{}
 	}}
-	successor, err := OpenSuccessor(files, statedir.NewSpace(1<<20).Account())
+	successor, _, err := OpenSuccessor(files, statedir.NewSpace(1<<20).Account())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -149,7 +149,7 @@
 	if err := successor.Flush(); err != nil {
 		t.Fatal(err)
 	}
-	next, err := OpenSuccessor(fsys.OS{Dir: dir}, statedir.NewSpace(1<<20).Account()) // overwrites the successor's file
+	next, _, err := OpenSuccessor(fsys.OS{Dir: dir}, statedir.NewSpace(1<<20).Account()) // overwrites the successor's file
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -168,7 +168,7 @@
 	current.Accept(held)
 	current.Accept(finished)
 	current.Flush()
-	successor, err := OpenSuccessor(fsys.OS{Dir: dir}, statedir.NewSpace(1<<20).Account())
+	successor, _, err := OpenSuccessor(fsys.OS{Dir: dir}, statedir.NewSpace(1<<20).Account())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -198,7 +198,7 @@
 	}
 
 	// A successor that never took over: the next start merges its file into the journal.
-	abandoned, err := OpenSuccessor(fsys.OS{Dir: dir}, statedir.NewSpace(1<<20).Account())
+	abandoned, _, err := OpenSuccessor(fsys.OS{Dir: dir}, statedir.NewSpace(1<<20).Account())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/journal/open.go
+++ b/internal/journal/open.go
@@ -103,24 +103,34 @@
 // further numbers while both run.
 const successorNumberGap = 1 << 32
 
-// OpenSuccessor creates the journal of a process that starts while its predecessor still uses the state directory: an
-// empty file of its own, whose numbers lie above all those in the predecessor's journal.
-func OpenSuccessor(files fsys.Opener, account *statedir.Account) (*Journal, error) {
+// OpenSuccessor creates the journal of a process that starts while its predecessor still uses the state directory: a
+// file of its own, with numbers above all those in the predecessor's journal. If an earlier successor has died before
+// it took over, its entries are kept: they are in no other file. They are returned in the order of their numbers.
+func OpenSuccessor(files fsys.Opener, account *statedir.Account) (*Journal, []*Entry, error) {
 	data, err := readWithRetry(files, fileName)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
+	}
+	left, err := readWithRetry(files, successorName)
+	if err != nil {
+		return nil, nil, err
 	}
 	current := &Journal{live: map[uint64]*Entry{}, nextNumber: 1}
 	current.replay(data)
-	j := &Journal{
-		files: files, name: successorName, account: account, live: map[uint64]*Entry{},
-		nextNumber: current.nextNumber + successorNumberGap,
+	j := &Journal{files: files, name: successorName, account: account, live: map[uint64]*Entry{}, nextNumber: 1}
+	j.replay(left)
+	for num, e := range j.live {
+		e.endAttempt(true)
+		if current.live[num] != nil { // the predecessor took over this file, but could not remove it yet
+			delete(j.live, num)
+		}
 	}
+	j.nextNumber = max(j.nextNumber, current.nextNumber+successorNumberGap)
 	if err := j.compact(); err != nil && !transient.IsDiskError(err) {
-		return nil, fmt.Errorf("journal: compact: %w", err)
+		return nil, nil, fmt.Errorf("journal: compact: %w", err)
 	}
 	j.claimSpace(0, 0)
-	return j, nil
+	return j, j.entries(), nil
 }
 
 // TakeOver turns a successor's journal into the main journal, once the predecessor has exited: the predecessor's
