The warning on late ends counts from 50 ms past the deadline

In the soak nearly every line of the warning told of one message 1 to 5 ms late: a call that times out at its message's deadline ends it a little later, well within the 300 ms that are allowed. Change: warning and counter leave out what ends within 50 ms.

--- a/internal/sender/lateness.go
+++ b/internal/sender/lateness.go
@@ -20,9 +20,13 @@
 	l.count++
 }
 
-// noteLateness counts a message that ends with a notice now, if its deadline has passed.
+// minLatenessMS is the least lateness that counts, in milliseconds: a call that times out at its message's deadline ends
+// the message a little later.
+const minLatenessMS = 50.0
+
+// noteLateness counts a message that ends with a notice now, if that is later than minLatenessMS past its deadline.
 func (s *Sender) noteLateness(e *journal.Entry) {
-	if lateMS := s.now - float64(e.Deadline); lateMS > 0 {
+	if lateMS := s.now - float64(e.Deadline); lateMS > minLatenessMS {
 		s.lateEndings.add(e.Trace, lateMS)
 		s.lateEndingCount++
 	}
