Soak: the successor or the old process of an upgrade is killed in some of them

Need: nothing played a successor that dies before it takes over, or an old process that is killed beside it. Change: one upgrade in five each.

--- a/cmd/sliptide/soak_faults_test.go
+++ b/cmd/sliptide/soak_faults_test.go
@@ -80,8 +80,7 @@
 		n.hangSomeEndpoints()
 		n.terminate(n.rig.proc, n.rig.exited)
 	}
-	n.aboutToKill(n.index)
-	n.rig.kill(syscall.SIGKILL)
+	n.kill(n.index, n.rig.proc, n.rig.exited)
 	time.Sleep(startDelay)
 	n.rig.binary = n.drawBinary(binaries)
 	launched := time.Now()
@@ -97,7 +96,7 @@
 }
 
 // upgrade starts a successor beside the sender, and stops the old process once the successor is ready. Both are one
-// sender, so that all guarantees hold meanwhile.
+// sender, so that all guarantees hold meanwhile. In some upgrades the successor or the old process is killed first.
 func (n *soakNode) upgrade(binaries []string) {
 	var disk sync.WaitGroup // disk writes fail at a random time of the upgrade
 	defer disk.Wait()
@@ -110,6 +109,29 @@
 	}
 	n.hangSomeEndpoints()
 	old, oldExited := n.rig.proc, n.rig.exited
+	n.launchSuccessor(binaries)
+	if n.rng.IntN(5) == 0 { // it dies before it takes over, and another one is started
+		n.senderStopping(n.index)
+		n.kill(n.index, n.rig.proc, n.rig.exited)
+		n.launchSuccessor(binaries)
+		n.senderReady(n.index)
+	}
+	n.upgradeStarting(n.index)
+	switch {
+	case n.rng.IntN(5) == 0:
+		n.killOld(old, oldExited)
+	case !n.terminate(old, oldExited):
+		n.kill(n.index, old, oldExited)
+	}
+	select {
+	case <-n.rig.exited:
+		n.violation("n%d: the successor has ended", n.index)
+	default:
+	}
+}
+
+// launchSuccessor starts a process beside the sender's and waits until it says that it is ready.
+func (n *soakNode) launchSuccessor(binaries []string) {
 	n.rig.binary = n.drawBinary(binaries)
 	admin := n.rig.useFreeAdminAddr()
 	launched := time.Now()
@@ -117,21 +139,17 @@
 	for !saysReady(admin) {
 		if time.Since(launched) > upgradeTimeout {
 			n.violation("n%d: the successor is not ready within %v of its start", n.index, upgradeTimeout)
-			break
+			return
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	n.upgradeStarting(n.index)
-	if !n.terminate(old, oldExited) {
-		n.aboutToKill(n.index)
-		old.Process.Kill()
-		<-oldExited
-	}
-	select {
-	case <-n.rig.exited:
-		n.violation("n%d: the successor has ended", n.index)
-	default:
-	}
+}
+
+// killOld kills the old process of an upgrade without a warning. What it learnt last is lost, as in a restart.
+func (n *soakNode) killOld(old *exec.Cmd, exited <-chan struct{}) {
+	n.senderStopping(n.index)
+	n.kill(n.index, old, exited)
+	n.senderReady(n.index)
 }
 
 // terminate sends a process a series of signals to stop, and reports whether it exits before it has to be killed.
--- a/cmd/sliptide/soak_judge_test.go
+++ b/cmd/sliptide/soak_judge_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os/exec"
 	"sync"
 	"time"
 )
@@ -52,7 +53,8 @@
 	waitRequestedAt map[[2]int]time.Time
 	outages         map[int][]outage
 	terminatedAt    map[int]time.Time // by sender: the last series of signals to stop
-	killedAt        map[int]time.Time // by sender: the last SIGKILL
+	killing         map[int]bool      // by sender: a process has received SIGKILL and has not ended yet
+	killedAt        map[int]time.Time // by sender: when a process last ended by SIGKILL
 	upgrading       map[int]bool      // by sender: the last process to stop had a successor
 	leftUnanswered  map[int]int       // by sender: new connections closed without an answer in its last upgrade
 
@@ -65,7 +67,7 @@
 func newSoak(seed uint64) *soak {
 	return &soak{rng: rand.New(rand.NewPCG(seed, 34)), mix: soakMixes[seed%uint64(len(soakMixes))], startedAt: time.Now(), msgs: map[string]*soakMessage{},
 		waitUntil: map[[2]int]time.Time{}, waitRequestedAt: map[[2]int]time.Time{}, outages: map[int][]outage{},
-		terminatedAt: map[int]time.Time{}, killedAt: map[int]time.Time{}, upgrading: map[int]bool{}, leftUnanswered: map[int]int{}}
+		terminatedAt: map[int]time.Time{}, killing: map[int]bool{}, killedAt: map[int]time.Time{}, upgrading: map[int]bool{}, leftUnanswered: map[int]int{}}
 }
 
 // draw returns a new random source for one request, derived from the seed.
@@ -214,11 +216,16 @@
 	s.terminatedAt[sender] = time.Now()
 }
 
-// aboutToKill records that a process of a sender is about to receive SIGKILL.
-func (s *soak) aboutToKill(sender int) {
+// kill sends SIGKILL to a process of a sender and waits for its end. Until then it may accept new connections.
+func (s *soak) kill(sender int, proc *exec.Cmd, exited <-chan struct{}) {
+	s.mu.Lock()
+	s.killing[sender] = true
+	s.mu.Unlock()
+	proc.Process.Kill()
+	<-exited
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.killedAt[sender] = time.Now()
+	s.killing[sender], s.killedAt[sender] = false, time.Now()
 }
 
 // upgradeStarting records that the process which is about to stop has a successor.
@@ -237,7 +244,7 @@
 	defer s.mu.Unlock()
 	terminated := s.terminatedAt[sender]
 	switch {
-	case !s.killedAt[sender].Before(dialedAt):
+	case s.killing[sender], !s.killedAt[sender].Before(dialedAt):
 	case s.upgrading[sender]:
 		s.unansweredInUpgrades++
 		if s.leftUnanswered[sender]++; s.leftUnanswered[sender] > maxUnansweredPerUpgrade {
