--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 crash: ## a process killed 1,000 times while it writes under load (about five minutes)
 	SLIPTIDE_CRASHES=1000 go test ./cmd/sliptide -count=1 -timeout 30m -v -run TestKilledWhileWriting | grep -v '"level"'
 
-soak: ## 56 seeds of faults on real processes: partners that repeat answers, signals, stepped clocks (about five minutes)
+soak: ## 56 seeds of faults on real processes: partners that repeat answers or hang, upgrades, signals, stepped clocks (about five minutes)
 	SLIPTIDE_SOAK_SEEDS=56 go test -race ./cmd/sliptide -count=1 -timeout 30m -parallel 8 -v -run TestSoakOfFaults | grep -E 'soak_test|ok|FAIL'
 
 h2-chaos: ## 100,000 messages to partners that close, reset and say GOAWAY at random (about two minutes)
