A hand-over ends only once the requested waits are on disk or over

An old process whose disk failed at its end left it untold, and its successor called the partner during the wait, which an upgrade does not end.

--- a/cmd/sliptide/handover_test.go
+++ b/cmd/sliptide/handover_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"os/exec"
 	"strings"
 	"syscall"
@@ -29,7 +30,16 @@
 // newUpgrade starts a sender, connects to it, and then starts its successor.
 func newUpgrade(t *testing.T, kinds ...string) *upgrade {
 	t.Helper()
-	u := &upgrade{rig: newRigWithOperatorFile(t, `<log records="true"/>`, nil, kinds...)}
+	return newUpgradeOf(t, binary, `<log records="true"/>`, kinds...)
+}
+
+// newUpgradeOf is newUpgrade with the given program and operators' file.
+func newUpgradeOf(t *testing.T, program, operator string, kinds ...string) *upgrade {
+	t.Helper()
+	t.Parallel()
+	u := &upgrade{rig: newUnstartedRig(t, operator, nil, kinds...)}
+	u.binary = program
+	u.start()
 	conn, err := net.Dial("tcp", u.addr)
 	if err != nil {
 		t.Fatal(err)
@@ -283,3 +293,26 @@
 		t.Error("the dead successor had accepted nothing, so that the test shows nothing")
 	}
 }
+
+// Guards against calls during a requested wait that the old process could not write down before it handed over.
+func TestRequestedWaitOutlastsHandOverOnFailingDisk(t *testing.T) {
+	const wait = 1500 * time.Millisecond
+	u := newUpgradeOf(t, buildWithClockShift(t, 0), `<knowledge enabled="true" write-every="1s"/>`, "one")
+	u.submitAccepted("waits", 0, 15)
+	call := u.expectCallFor("waits")
+	u.proc.Process.Signal(syscall.SIGTERM)
+	u.awaitLog(`"handing_over":true`)
+	disk := u.stateDir + diskFailSuffix
+	if err := os.WriteFile(disk, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	call.respond(503, "Retry-After", fmt.Sprint(wait.Seconds()))
+	requestedAt := time.Now()
+	u.awaitLog("state directory released")
+	if err := os.Remove(disk); err != nil { // so that the successor can send
+		t.Fatal(err)
+	}
+	if early := wait - u.expectCallFor("waits").at.Sub(requestedAt); early > 0 {
+		t.Errorf("called %v before the end of the wait", early)
+	}
+}
--- a/internal/knowledge/keeper/writer.go
+++ b/internal/knowledge/keeper/writer.go
@@ -19,6 +19,8 @@
 const (
 	// Shortest time between two writes of waits, so that waits requested at the same time share a write.
 	minWaitsInterval = 10 * time.Millisecond
+	// Time after a failed write of waits until they are written again.
+	waitsRetryInterval = 50 * time.Millisecond
 	// Step of the wall clock, in milliseconds, after which waits are written again.
 	minClockStep = 100.0
 	// Time between two checks for such a step.
@@ -48,8 +50,10 @@
 	done      chan struct{}
 	closeOnce sync.Once
 
-	mu      sync.Mutex
-	pending *knowledge.Facts // added since the last takePending
+	mu           sync.Mutex
+	pending      *knowledge.Facts // added since the last takePending
+	pendingUntil float64          // latest end of a wait in pending; 0: none
+	takenUntil   float64          // latest end of a wait that was taken from pending and is not on disk yet; 0: none
 
 	// Only the goroutine of Run uses these fields.
 	facts        *knowledge.Facts // all facts, times by the sender's clock
@@ -74,6 +78,7 @@
 	}
 	w.mu.Lock()
 	w.pending.AddWait(wait)
+	w.pendingUntil = max(w.pendingUntil, float64(wait.Until))
 	w.mu.Unlock()
 	select {
 	case w.waitAdded <- struct{}{}:
@@ -81,6 +86,24 @@
 	}
 }
 
+// UnsavedUntil returns the latest end of the requested waits that are not on disk yet, in milliseconds of the sender's
+// clock; 0 if all are.
+func (w *Writer) UnsavedUntil() float64 {
+	if w == nil {
+		return 0
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return max(w.pendingUntil, w.takenUntil)
+}
+
+// waitsSaved records that the waits taken from pending are on disk.
+func (w *Writer) waitsSaved() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.takenUntil = 0
+}
+
 // AddFacts adds facts about destinations and, unless general is nil, facts that belong to no destination. The Writer
 // owns them from then on.
 func (w *Writer) AddFacts(dests []*knowledge.Destination, general *knowledge.Facts) {
@@ -110,21 +133,30 @@
 	}
 }
 
-// Run writes until Close: waits at once, all facts every WriteInterval.
+// Run writes until Close: waits at once, and again after waitsRetryInterval if that failed; all facts every WriteInterval.
 func (w *Writer) Run() {
 	defer close(w.done)
 	snapshots := time.NewTicker(w.opts.Settings.WriteInterval)
 	defer snapshots.Stop()
 	clockChecks := time.NewTicker(clockCheckInterval)
 	defer clockChecks.Stop()
+	retry := time.NewTimer(waitsRetryInterval)
+	defer retry.Stop()
 	for {
+		if w.UnsavedUntil() == 0 {
+			retry.Stop()
+		}
 		select {
 		case <-w.closing:
 			w.writeSnapshot()
 			return
 		case <-w.waitAdded:
 			w.writeWaits(false)
+			retry.Reset(waitsRetryInterval)
 			w.pause(minWaitsInterval)
+		case <-retry.C:
+			w.writeWaits(true)
+			retry.Reset(waitsRetryInterval)
 		case <-clockChecks.C:
 			if drift := w.opts.WallClock() - w.opts.Clock() - w.clockOffset; drift > minClockStep || drift < -minClockStep {
 				w.writeWaits(true) // those on disk are by the wall clock before its step
@@ -170,6 +202,7 @@
 	w.mu.Lock()
 	pending := w.pending
 	w.pending = knowledge.New(pending.Sender)
+	w.takenUntil, w.pendingUntil = max(w.takenUntil, w.pendingUntil), 0
 	w.mu.Unlock()
 	for _, wait := range pending.Waits {
 		hasWaits = w.facts.AddWait(wait) || hasWaits
@@ -202,7 +235,11 @@
 	if !w.takePending() && !force {
 		return
 	}
-	w.logError(w.opts.Store.SaveWaits(w.factsToWrite()))
+	err := w.opts.Store.SaveWaits(w.factsToWrite())
+	if err == nil {
+		w.waitsSaved()
+	}
+	w.logError(err)
 }
 
 // writeSnapshot writes all facts that there is space for.
@@ -217,7 +254,11 @@
 			Msg("knowledge: number of destinations left out of the snapshot for lack of disk space has changed")
 		w.leftOut = leftOut
 	}
-	w.logError(w.opts.Store.SaveSnapshot(fitted))
+	err := w.opts.Store.SaveSnapshot(fitted)
+	if err == nil {
+		w.waitsSaved()
+	}
+	w.logError(err)
 }
 
 // yieldSpace releases disk space for the journal: first the old files, then the snapshot. The next snapshot uses the
--- a/internal/knowledge/keeper/writer_test.go
+++ b/internal/knowledge/keeper/writer_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -269,3 +270,29 @@
 	w.UpdateSettings(operator.Knowledge{})
 	w.Close(context.Background())
 }
+
+// Guards against a requested wait that is never written since the disk failed when it was added.
+func TestWaitIsWrittenAfterFailedWrite(t *testing.T) {
+	var failures atomic.Int32
+	failures.Store(3)
+	r := newRig(t, statedir.NewSpace(1<<20), func(_ int, op, _ string) fsys.Fault {
+		if op == "write" && failures.Add(-1) >= 0 {
+			return fsys.Fault{Err: syscall.EIO}
+		}
+		return fsys.Fault{}
+	})
+	wait := newWait(1, 0, 5000)
+	r.AddWait(wait)
+	if until := r.UnsavedUntil(); until != float64(wait.Until) {
+		t.Fatalf("before a write, waits unsaved until %v, want %v", until, wait.Until)
+	}
+	go r.Run()
+	for range 4 {
+		r.awaitOp(t, "write "+store.WaitsName+".new")
+	}
+	r.awaitOp(t, "rename "+store.WaitsName)
+	r.closeWriter(t)
+	if until := r.UnsavedUntil(); until != 0 {
+		t.Errorf("after the writes, waits unsaved until %v, want none", until)
+	}
+}
--- a/internal/sender/stopping.go
+++ b/internal/sender/stopping.go
@@ -12,8 +12,8 @@
 func (s *Sender) Stop() { s.post(input{stop: &stopRequest{at: time.Now()}}) }
 
 // HandOver stops the sender in favour of a waiting successor: no further call begins, and it exits when the calls in
-// progress have ended, or stopTimeout after requestedAt, when the process was asked to stop. The successor finds the
-// remaining messages in the journal.
+// progress have ended and the requested waits are on disk or over, or stopTimeout after requestedAt, when the process was
+// asked to stop. The successor finds the remaining messages in the journal.
 func (s *Sender) HandOver(requestedAt time.Time) {
 	s.post(input{stop: &stopRequest{at: requestedAt, handOver: true}})
 }
@@ -42,12 +42,15 @@
 
 // mayExit reports whether the sender may exit when the stop was requested age ago.
 func (s *Sender) mayExit(age time.Duration) bool {
-	if s.handingOver && len(s.calls) == 0 {
+	if s.handingOver && len(s.calls) == 0 && !s.waitUnsaved() {
 		return true
 	}
 	return age >= stopTimeout || s.clientsGone && len(s.calls) == 0 && (age >= stopSendWindow || len(s.messages) == 0)
 }
 
+// waitUnsaved reports whether a requested wait is in force that is not on disk yet. A successor would not know of it.
+func (s *Sender) waitUnsaved() bool { return s.knowledge.Writer.UnsavedUntil() > s.clock.Now() }
+
 // shutDown journals, for the next process, the outcomes that came after the last step, and that unsent calls never ran.
 // It closes the connections of the calls that are still in progress.
 // Without this the journal would say of messages that were delivered, or surely not sent, that they may have run: the
