The safeguard for overdue messages looks after the module's step

Reading the change again: after a pause of the process of over 100 ms (up to 150 ms are to be expected) the safeguard came before the step in which the module ends the message with the outcome of its call, logged an error and ended it by given_up where the module hands it back. Change: it looks after the step.

--- a/internal/sender/overdue.go
+++ b/internal/sender/overdue.go
@@ -20,7 +20,7 @@
 	s.overdueCheckAt = min(s.overdueCheckAt, float64(m.Deadline)+overdueGraceMS)
 }
 
-// endOverdue ends the messages that are still held overdueGraceMS past their deadline.
+// endOverdue ends the messages that are still held overdueGraceMS past their deadline, after a step of the module.
 func (s *Sender) endOverdue() {
 	if s.now < s.overdueCheckAt {
 		return
@@ -35,6 +35,7 @@
 			Bool("in_progress", m.call != nil).Float64("late_ms", s.now-float64(m.Deadline)).
 			Msg("a message was held past its deadline; it is ended now")
 		s.events = append(s.events, policy.Event{Kind: policy.EvWithdrawn, ID: m.Num})
+		s.stepDue = true
 		s.abandon(m, journal.EndingAbandoned, telemetry.EndingAbandoned, 0)
 	}
 }
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -316,7 +316,6 @@
 	s.stepCopies()
 	s.releaseLeavingShards(false)
 	s.endExpiredAttempts()
-	s.endOverdue()
 	s.applyStormThrottles()
 	s.module.SetHalted(s.journalFailed || s.sendingEnded())
 	s.actions = s.module.Step(s.now, s.events, s.actions[:0])
@@ -324,6 +323,7 @@
 	for i := range s.actions {
 		s.execute(&s.actions[i])
 	}
+	s.endOverdue()
 	err := s.journal.Flush()
 	s.handleFlushResult(err)
 	if s.copies != nil && err == nil {
