Review stand-ins: ports that no connection can take, and a list in a stable order

Change: ports below those that the system gives out; entries sorted by id; endpoints of case 1 that answer in 300 ms, so that both are used.

--- a/review/harness/cmd/enable/main.go
+++ b/review/harness/cmd/enable/main.go
@@ -13,6 +13,9 @@
 	l := lab.New()
 	lodge := l.NewEndpoint("lodge-old", "")
 	other := l.NewEndpoint("lodge-second", "")
+	usual := func(string) lab.Answer { return lab.Answer{After: 300 * time.Millisecond, Status: 200} }
+	lodge.Answer(usual)
+	other.Answer(usual)
 	platform := l.NewPlatform(
 		lab.Listed{ID: "s-old", Addr: lodge.Addr, Zone: "a", Kind: "partner", Cell: 7, State: "up", Weight: 10},
 		lab.Listed{ID: "s-second", Addr: other.Addr, Zone: "a", Kind: "partner", Cell: 7, State: "up", Weight: 10},
@@ -37,6 +40,7 @@
 	lodge.Stop()
 	platform.Set(lab.Listed{ID: "s-old", Addr: lodge.Addr, Zone: "a", Kind: "partner", Cell: 7, State: "removed"})
 	gate := l.NewEndpoint("gate", lodge.Addr)
+	gate.Answer(usual)
 	platform.Set(lab.Listed{ID: "s-gate", Addr: gate.Addr, Zone: "a", Kind: "partner", Cell: 8, State: "up", Weight: 10})
 	time.Sleep(7 * time.Second) // counts as told after 6 s at the latest
 	if l.Trouble {
--- a/review/harness/lab/platform.go
+++ b/review/harness/lab/platform.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -89,6 +91,7 @@
 			answer.Servers = append(answer.Servers, h)
 		}
 	}
+	slices.SortFunc(answer.Servers, func(a, b Listed) int { return strings.Compare(a.ID, b.ID) })
 	return answer
 }
 
--- a/review/harness/lab/record.go
+++ b/review/harness/lab/record.go
@@ -30,11 +30,12 @@
 	Host    string // loopback address of this run alone: no connection of another one can take its ports
 	Trouble bool   // false: the same without the disruption
 
-	start  time.Time
-	mu     sync.Mutex
-	record *os.File
-	broken []string
-	ends   []func()
+	start    time.Time
+	mu       sync.Mutex
+	lastPort int // that FreeAddr has tried
+	record   *os.File
+	broken   []string
+	ends     []func()
 }
 
 // New returns the Lab of the case in folder review/N, which the first argument of the program names.
@@ -49,7 +50,7 @@
 		os.Exit(NotRun)
 	}
 	l := &Lab{Root: filepath.Dir(filepath.Dir(folder)), Trouble: os.Getenv("TROUBLE") != "0", start: time.Now(),
-		Host: fmt.Sprintf("127.%d.%d.%d", 10+rand.IntN(200), rand.IntN(250), 2+rand.IntN(250))}
+		Host: fmt.Sprintf("127.%d.%d.%d", 10+rand.IntN(200), rand.IntN(250), 2+rand.IntN(250)), lastPort: firstPort}
 	if l.record, err = os.Create(filepath.Join(folder, "record.txt")); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(NotRun)
@@ -138,12 +139,25 @@
 	return ok()
 }
 
-// FreeAddr returns an address of this run with a port that is free at present.
+// firstPort is the first port that FreeAddr tries. The ports that the system gives to connections and to listeners without
+// a port of their own begin above lastPort, so that none of them is taken before its sender listens.
+const (
+	firstPort = 20000
+	lastPort  = 30000
+)
+
+// FreeAddr returns an address of this run with a port that nobody else uses.
 func (l *Lab) FreeAddr() string {
-	ln, err := net.Listen("tcp", l.Host+":0")
-	if err != nil {
-		l.Fail("no free port: %v", err)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.lastPort++; l.lastPort <= lastPort; l.lastPort++ {
+		addr := fmt.Sprintf("%s:%d", l.Host, l.lastPort)
+		if ln, err := net.Listen("tcp", addr); err == nil {
+			ln.Close()
+			return addr
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	fmt.Fprintln(os.Stderr, "could not run: no free port")
+	os.Exit(NotRun)
+	return ""
 }
