--- a/review/harness/lab/record.go
+++ b/review/harness/lab/record.go
@@ -38,7 +38,12 @@
 	ends     []func()
 }
 
-// New returns the Lab of the case in folder review/N, which the first argument of the program names.
+func exists(path string) bool {
+	_, err := os.Stat(path)
+	return err == nil
+}
+
+// New returns the Lab of the case whose folder the first argument of the program names: record.txt is written there.
 func New() *Lab {
 	if len(os.Args) != 2 {
 		fmt.Fprintln(os.Stderr, "usage: program FOLDER-OF-THE-CASE")
@@ -49,7 +54,11 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(NotRun)
 	}
-	l := &Lab{Root: filepath.Dir(filepath.Dir(folder)), Trouble: os.Getenv("TROUBLE") != "0", start: time.Now(),
+	root := folder
+	for !exists(filepath.Join(root, "deploy", "balancer.toml")) && root != filepath.Dir(root) {
+		root = filepath.Dir(root)
+	}
+	l := &Lab{Root: root, Trouble: os.Getenv("TROUBLE") != "0", start: time.Now(),
 		Host: fmt.Sprintf("127.%d.%d.%d", 10+rand.IntN(200), rand.IntN(250), 2+rand.IntN(250)), lastPort: firstPort}
 	if l.record, err = os.Create(filepath.Join(folder, "record.txt")); err != nil {
 		fmt.Fprintln(os.Stderr, err)
