Review: each script names and writes its own record.txt

Cause: the scripts left record.txt to the shared stand-ins, so that nothing in a case's folder wrote it, and a case that had not been built ended with 2 and no record.

--- a/review/harness/lab/record.go
+++ b/review/harness/lab/record.go
@@ -43,24 +43,24 @@
 	return err == nil
 }
 
-// New returns the Lab of the case whose folder the first argument of the program names: record.txt is written there.
+// New returns the Lab of a case. The first argument of the program is the file that the record is written to.
 func New() *Lab {
 	if len(os.Args) != 2 {
-		fmt.Fprintln(os.Stderr, "usage: program FOLDER-OF-THE-CASE")
+		fmt.Fprintln(os.Stderr, "usage: program RECORD-FILE")
 		os.Exit(NotRun)
 	}
-	folder, err := filepath.Abs(os.Args[1])
+	recordFile, err := filepath.Abs(os.Args[1])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(NotRun)
 	}
-	root := folder
+	root := filepath.Dir(recordFile)
 	for !exists(filepath.Join(root, "deploy", "balancer.toml")) && root != filepath.Dir(root) {
 		root = filepath.Dir(root)
 	}
 	l := &Lab{Root: root, Trouble: os.Getenv("TROUBLE") != "0", start: time.Now(),
 		Host: fmt.Sprintf("127.%d.%d.%d", 10+rand.IntN(200), rand.IntN(250), 2+rand.IntN(250)), lastPort: firstPort}
-	if l.record, err = os.Create(filepath.Join(folder, "record.txt")); err != nil {
+	if l.record, err = os.Create(recordFile); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(NotRun)
 	}
