--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -34,10 +34,9 @@
 	}
 }
 
-// handleDisable executes a disable request. The module receives the endpoint as if it had been listed again.
+// handleDisable executes a disable request.
 func (s *Sender) handleDisable(req *disableRequest) error {
-	id, named := s.endpointIDs[req.id]
-	if !named && !req.replicated && !s.disabled.Has(req.id) { // one disabled in an earlier process may not be listed yet
+	if _, named := s.endpointIDs[req.id]; !named && !req.replicated && !s.disabled.Has(req.id) { // one disabled in an earlier process may not be listed yet
 		return operate.ErrNeverListed
 	}
 	if err := s.disabled.Set(req.id, req.disabled); err != nil {
@@ -45,10 +44,43 @@
 	}
 	s.recordDisabled(req.id, req.disabled)
 	s.log.Info().Str("endpoint", req.id).Bool("out", req.disabled).Msg("endpoint disabled or enabled by an operator")
-	if e, listed := s.endpoints[id]; named && listed {
+	s.reapplyEndpoint(req.id)
+	return nil
+}
+
+// reapplyEndpoint passes an endpoint to the module again, as last listed, after a change of what this sender may use. It
+// does nothing for an endpoint that is gone: only discovery lists it again.
+func (s *Sender) reapplyEndpoint(name string) {
+	e, known := s.endpoints[s.endpointIDs[name]]
+	if known && e.Name == name && e.State != policy.Gone {
 		s.handleList(&discovery.List{Endpoints: []discovery.Endpoint{e}})
 	}
-	return nil
+}
+
+// recordListed records an endpoint as listed. One that is gone keeps its other properties, for the outcomes of its calls.
+func (s *Sender) recordListed(e *discovery.Endpoint) {
+	s.endpointIDs[e.Name] = e.ID
+	if e.State == policy.Gone {
+		s.recordGone(e.ID)
+		return
+	}
+	s.endpoints[e.ID] = *e
+}
+
+func (s *Sender) recordGone(id uint32) {
+	if e, known := s.endpoints[id]; known {
+		e.State = policy.Gone
+		s.endpoints[id] = e
+	}
+}
+
+// recordUnlistedGone records that a whole list lacks all endpoints but those in listed.
+func (s *Sender) recordUnlistedGone(listed map[uint32]bool) {
+	for id := range s.endpoints {
+		if _, named := listed[id]; !named {
+			s.recordGone(id)
+		}
+	}
 }
 
 // logDestLimit logs, once, that a destination is not served because of MaxDestinations.
@@ -71,10 +103,7 @@
 	ev := policy.Event{Kind: policy.EvList, FullList: l.Full}
 	listed := make(map[uint32]bool, len(l.Endpoints))
 	for _, e := range l.Endpoints {
-		s.endpointIDs[e.Name] = e.ID
-		if e.State != policy.Gone {
-			s.endpoints[e.ID] = e
-		}
+		s.recordListed(&e)
 		s.recordDraining(&e)
 		e.State = s.avoided.EffectiveState(e.Name, s.disabled.EffectiveState(e.Name, e.State), s.now)
 		if s.partner != nil {
@@ -92,6 +121,9 @@
 			}
 		}
 	}
+	if l.Full {
+		s.recordUnlistedGone(listed)
+	}
 	s.stormGuard.UpdateEndpoints(s.now, ev.List, ev.FullList)
 	s.events = append(s.events, ev)
 	s.honourListedWaits(ev.List)
--- a/internal/sender/holds.go
+++ b/internal/sender/holds.go
@@ -114,10 +114,3 @@
 		s.reapplyEndpoint(id)
 	}
 }
-
-// reapplyEndpoint passes an endpoint to the module again, as last listed.
-func (s *Sender) reapplyEndpoint(name string) {
-	if e, listed := s.endpoints[s.endpointIDs[name]]; listed && e.Name == name {
-		s.handleList(&discovery.List{Endpoints: []discovery.Endpoint{e}})
-	}
-}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -137,7 +137,7 @@
 	listedDests     map[int]bool
 	destLimitLogged bool                          // the error about MaxDestinations has been logged
 	pendingNotices  map[uint64]*journal.Entry     // ended messages whose notice has not been accepted yet
-	endpoints       map[uint32]discovery.Endpoint // as last listed, except as gone; regardless of disabled and avoided
+	endpoints       map[uint32]discovery.Endpoint // in the state last listed, also as gone; regardless of disabled and avoided
 	endpointIDs     map[string]uint32             // of every endpoint that has been listed, by name
 	disabled        operate.DisabledSet
 	avoided         operate.TakeoverDrains     // endpoints that the lost sender of adopted messages avoided
