--- a/cmd/sliptide/knowledge_test.go
+++ b/cmd/sliptide/knowledge_test.go
@@ -160,8 +160,8 @@
 	r.kill(syscall.SIGTERM)
 	list, _ := os.ReadDir(r.stateDir)
 	for _, f := range list {
-		if n := f.Name(); n != "journal" && n != "lock" && n != "clock" {
-			t.Errorf("%s in the state directory, want only journal, lock and clock", n)
+		if n := f.Name(); n != "journal" && n != "lock" && n != "lock.ids" && n != "clock" {
+			t.Errorf("%s in the state directory, want only journal, the two locks and clock", n)
 		}
 	}
 }
--- a/internal/fsys/faulty.go
+++ b/internal/fsys/faulty.go
@@ -152,3 +152,30 @@
 func (f *faultyFile) Truncate(size int64) error {
 	return f.fs.perform("truncate", f.name, func() error { return f.File.Truncate(size) })
 }
+
+// OpenTail implements Opener; the underlying FS must implement it too. It counts as a read, and so does ReadFrom.
+func (f *Faulty) OpenTail(name string) (Tail, error) {
+	if fault := f.nextFault("read", name); fault.Err != nil {
+		return nil, fault.Err
+	}
+	opened, err := f.FS.(Opener).OpenTail(name)
+	if err != nil {
+		return nil, err
+	}
+	return &faultyTail{Tail: opened, fs: f, name: name}, nil
+}
+
+// faultyTail is a Tail with injected faults.
+type faultyTail struct {
+	Tail
+	fs   *Faulty
+	name string
+}
+
+// ReadFrom implements Tail.
+func (t *faultyTail) ReadFrom(offset int64) ([]byte, error) {
+	if fault := t.fs.nextFault("read", t.name); fault.Err != nil {
+		return nil, fault.Err
+	}
+	return t.Tail.ReadFrom(offset)
+}
--- a/internal/fsys/fsys.go
+++ b/internal/fsys/fsys.go
@@ -39,6 +39,19 @@
 	Write(data []byte) (int, error)
 	// Truncate shortens the file to that many bytes.
 	Truncate(size int64) error
+	// TryLock locks the file unless it is locked through another File, of any process; it reports whether it did. The
+	// lock ends with Unlock, Close or the end of the process.
+	TryLock() (bool, error)
+	Unlock() error
+	Close() error
+}
+
+// Tail is a file that is open for reading while another process appends to it or replaces it.
+type Tail interface {
+	// ReadFrom returns what the file holds from an offset on.
+	ReadFrom(offset int64) ([]byte, error)
+	// Replaced reports whether the file's name now belongs to another file, or to none.
+	Replaced() (bool, error)
 	Close() error
 }
 
@@ -47,6 +60,8 @@
 	FS
 	// Open opens a file for appending and creates it if it does not exist; truncate empties it.
 	Open(name string, truncate bool) (File, error)
+	// OpenTail opens a file that another process writes; the error is fs.ErrNotExist if there is no such file.
+	OpenTail(name string) (Tail, error)
 }
 
 // OS is the FS of the directory Dir of the operating system.
@@ -80,7 +95,11 @@
 	if truncate {
 		flags |= os.O_TRUNC
 	}
-	return os.OpenFile(o.path(name), flags, 0o600)
+	f, err := os.OpenFile(o.path(name), flags, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	return osFile{f}, nil
 }
 
 // Append implements FS.
--- a/internal/journal/copies_test.go
+++ b/internal/journal/copies_test.go
@@ -39,7 +39,7 @@
 	}
 	j.Accept(takenOver)
 	step()
-	j.End(list[2])
+	j.End(list[2], 5)
 	j.FinishTakeover(takenOver)
 	j.OweNotice(list[3], EndingAbandoned, 0)
 	step()
--- a/internal/journal/faults_test.go
+++ b/internal/journal/faults_test.go
@@ -88,7 +88,7 @@
 		for _, trace := range slices.Sorted(maps.Keys(live)) {
 			if e := live[trace]; rng.IntN(5) == 0 && !slices.Contains(accepting, trace) {
 				j.StartAttempt(e, int64(step+1), 0)
-				j.End(e)
+				j.End(e, 5)
 				delete(live, trace)
 				delete(accepted, trace) // until a Flush succeeds, the message may be replayed or not
 				ending = append(ending, trace)
@@ -97,7 +97,7 @@
 		}
 		if j.Flush() != nil {
 			for _, trace := range accepting { // the client gets a refusal
-				j.End(live[trace])
+				j.End(live[trace], 5)
 				delete(live, trace)
 			}
 			continue
--- a/internal/journal/holds.go
+++ b/internal/journal/holds.go
@@ -121,7 +121,7 @@
 
 // ReplayHolds returns the holds in records copied from another sender's journal.
 func ReplayHolds(records []byte) []Hold {
-	j := &Journal{live: map[uint64]*Entry{}, nextNumber: 1}
+	j := newJournal()
 	j.replay(records)
 	return j.Holds()
 }
--- a/internal/journal/inspect.go
+++ b/internal/journal/inspect.go
@@ -33,7 +33,7 @@
 		return nil, fmt.Errorf("journal: %w", err)
 	}
 	r := &Report{File: path, Bytes: int64(len(data))}
-	j := &Journal{live: map[uint64]*Entry{}, nextNumber: 1}
+	j := newJournal()
 	for rest := data; ; {
 		n, err := j.replayRecord(rest)
 		if err != nil {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -59,7 +59,7 @@
 	recStart       = 'S' // an attempt starts
 	recOutcome     = 'O' // an attempt ended
 	recNoticeOwed  = 'N' // a notice is owed from here on
-	recEnd         = 'E' // the message has ended
+	recEnd         = 'E' // the message has ended, at a time that earlier versions did not record; revokedAt: it was not accepted after all
 	recConfirmed   = 'C' // the client is told that the message is accepted
 	recTakeover    = 'A' // the message is being taken over from a lost owner; without a duty: the takeover is complete
 	recTraceParent = 'P' // trace context of a message; versions that do not know this kind skip it
@@ -67,7 +67,7 @@
 
 // knownKinds holds all record kinds that this version understands.
 const knownKinds = string(recAccepted) + string(recStart) + string(recOutcome) + string(recNoticeOwed) + string(recEnd) +
-	string(recConfirmed) + string(recTakeover) + string(recTraceParent) + string(recHold)
+	string(recConfirmed) + string(recTakeover) + string(recTraceParent) + string(recHold) + string(recEndedIDs)
 
 const (
 	fileName      = "journal"
@@ -95,13 +95,38 @@
 	superseded []string          // files whose records this one contains; removed before the next append
 	buf        []byte            // records that the next Flush writes
 	live       map[uint64]*Entry // by number
-	toCopy     []byte            // records since the last RecordsToCopy, if copies are enabled
+	ids        takenIDs
+	other      *follower // reads the journal of the other process of an upgrade
+	idLock     fsys.File // the file whose lock guards the IDs in an upgrade; nil: not opened yet
+	idsLocked  bool
+	dropBodies bool   // entries that are read lose their bodies
+	toCopy     []byte // records since the last RecordsToCopy, if copies are enabled
 	copying    bool
 	holds      map[holdKey]Hold // recorded only if copies are enabled
 	liveBytes  int64            // bytes of the live entries in a compacted file
 	nextNumber uint64
 }
 
+// newJournal returns an empty journal without files, for records that are read.
+func newJournal() *Journal {
+	return &Journal{live: map[uint64]*Entry{}, ids: newTakenIDs(), nextNumber: 1}
+}
+
+// setLive adds a live entry, in place of one with the same number.
+func (j *Journal) setLive(e *Entry) {
+	j.removeLive(e.Num)
+	j.live[e.Num] = e
+	j.ids.addLive(idHash(e.Trace))
+}
+
+// removeLive removes a live entry, if there is one with that number.
+func (j *Journal) removeLive(num uint64) {
+	if e := j.live[num]; e != nil {
+		delete(j.live, num)
+		j.ids.removeLive(idHash(e.Trace))
+	}
+}
+
 // closeFile closes the file; a compaction must come before the next append.
 func (j *Journal) closeFile() {
 	if j.file != nil {
@@ -151,7 +176,7 @@
 	if minimum > limit {
 		limit = j.account.Limit() // live entries may displace them
 	}
-	wanted := j.size + int64(len(j.buf)) + j.liveBytes + 2*entryBytes + j.smallRecordReserve(newEntries) + fixedReserve
+	wanted := j.size + int64(len(j.buf)) + j.liveBytes + j.ids.fileBytes() + 2*entryBytes + j.smallRecordReserve(newEntries) + fixedReserve
 	if minimum <= limit && wanted > limit {
 		return false
 	}
@@ -160,7 +185,7 @@
 
 // minClaim returns the disk space needed after a compaction, with a tenth to spare.
 func (j *Journal) minClaim(entryBytes int64, newEntries int) int64 {
-	return (2*(j.liveBytes+entryBytes)+j.smallRecordReserve(newEntries))*10/9 + fixedReserve
+	return (2*(j.liveBytes+j.ids.fileBytes()+entryBytes)+j.smallRecordReserve(newEntries))*10/9 + fixedReserve
 }
 
 // smallRecordReserve returns the bytes that the live entries, newEntries more, and the holds may still take in small
@@ -171,7 +196,7 @@
 
 // Accept adds a message.
 func (j *Journal) Accept(e *Entry) {
-	j.live[e.Num] = e
+	j.setLive(e)
 	start := len(j.buf)
 	j.buf = e.appendRecords(j.buf)
 	j.captureForCopies(start)
@@ -245,7 +270,7 @@
 // Replay returns the live entries in records copied from another sender's journal. An attempt without an outcome counts
 // as one that may have run.
 func Replay(records []byte) []*Entry {
-	j := &Journal{live: map[uint64]*Entry{}, nextNumber: 1}
+	j := newJournal()
 	j.replay(records)
 	for _, e := range j.live {
 		e.endAttempt(true)
@@ -255,7 +280,7 @@
 
 // Compact returns records for the live entries and holds in records only. An attempt without an outcome remains open.
 func Compact(records []byte) []byte {
-	j := &Journal{live: map[uint64]*Entry{}, nextNumber: 1}
+	j := newJournal()
 	j.replay(records)
 	return j.Snapshot()
 }
@@ -312,14 +337,32 @@
 	})
 }
 
-// End records that a message has ended. An entry that is not live, or has been replaced, is left alone.
-func (j *Journal) End(e *Entry) {
-	if j.live[e.Num] != e {
+// End records that a message has ended at a time, in milliseconds of the sender's clock. Its ID stays taken for
+// idRetentionMS. An entry that is not live, or has been replaced, is left alone.
+func (j *Journal) End(e *Entry, at int64) {
+	if !j.remove(e, at) {
 		return
 	}
-	delete(j.live, e.Num)
+	j.ids.expire(at)
+	j.ids.addEnded(idHash(e.Trace), at)
+}
+
+// Revoke records that a message was not accepted after all: its client was refused, or has gone without an answer. Its
+// ID is free. An entry that is not live, or has been replaced, is left alone.
+func (j *Journal) Revoke(e *Entry) { j.remove(e, revokedAt) }
+
+// remove removes a live entry and records its end. It reports whether the entry was live.
+func (j *Journal) remove(e *Entry, at int64) bool {
+	if j.live[e.Num] != e {
+		return false
+	}
+	j.removeLive(e.Num)
 	j.liveBytes -= e.recordBytes
-	j.appendRecord(func(b []byte) []byte { return binary.AppendUvarint(append(b, recEnd), e.Num) })
+	j.appendRecord(func(b []byte) []byte {
+		b = binary.AppendUvarint(append(b, recEnd), e.Num)
+		return binary.AppendVarint(b, at)
+	})
+	return true
 }
 
 func (e *Entry) startAttempt(at int64, zone int) {
@@ -423,6 +466,7 @@
 	for _, h := range j.Holds() {
 		b = appendFrame(b, h.appendTo)
 	}
+	b = j.ids.appendRecord(b)
 	tempName := j.name + newSuffix
 	f, err := j.files.Open(tempName, true)
 	if err != nil {
@@ -443,6 +487,8 @@
 // Close flushes the pending records and closes the file.
 func (j *Journal) Close() error {
 	err := j.Flush()
+	j.forgetOther()
+	j.closeIDLock()
 	if j.file != nil {
 		err = errors.Join(err, j.file.Close())
 	}
@@ -501,11 +547,17 @@
 		}
 		return d.err
 	}
+	if payload[0] == recEndedIDs {
+		return j.ids.replayRecord(d.b)
+	}
 	num := d.uvarint()
 	if payload[0] == recAccepted {
 		e := d.entry(num)
+		if j.dropBodies {
+			e.Body = nil
+		}
 		if d.err == nil {
-			j.live[num] = e
+			j.setLive(e)
 			j.nextNumber = max(j.nextNumber, num+1)
 		}
 		return d.err
@@ -522,7 +574,7 @@
 	case recNoticeOwed:
 		e.Ending, e.RetryMS = int(d.varint()), d.varint()
 	case recEnd:
-		delete(j.live, num)
+		j.replayEnd(e, &d)
 	case recConfirmed:
 		e.Confirmed = true
 	case recTakeover:
@@ -534,6 +586,18 @@
 	return d.err
 }
 
+// replayEnd applies the end of a live entry. Where its record lacks the time, the deadline is taken for it.
+func (j *Journal) replayEnd(e *Entry, d *decoder) {
+	j.removeLive(e.Num)
+	at := e.Deadline
+	if len(d.b) > 0 {
+		at = d.varint()
+	}
+	if at != revokedAt && d.err == nil {
+		j.ids.addEnded(idHash(e.Trace), at)
+	}
+}
+
 // decoder reads the fields of a payload in order. After a failure err is set and further numbers read as 0.
 type decoder struct {
 	b   []byte
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -37,7 +37,7 @@
 	for _, operation := range []func(){
 		func() { j.Accept(a) }, func() { j.StartAttempt(a, 1000, 2) }, func() { j.EndAttempt(a, false) },
 		func() { j.StartAttempt(a, 2000, 3) },
-		func() { j.Accept(b) }, func() { j.OweNotice(b, EndingReturned, 500) }, func() { j.End(b) },
+		func() { j.Accept(b) }, func() { j.OweNotice(b, EndingReturned, 500) }, func() { j.End(b, 5) },
 	} {
 		operation()
 		if err := j.Flush(); err != nil {
@@ -94,7 +94,7 @@
 		}
 		if len(live) > 30 || refused%2 == 1 && len(live) > 0 {
 			j.EndAttempt(live[0], true)
-			j.End(live[0])
+			j.End(live[0], int64(i))
 			live = live[1:]
 		}
 		before := j.size
@@ -179,7 +179,7 @@
 	successor.Accept(own)
 	successor.Flush()
 	current.StartAttempt(held, 5, 0) // open when the predecessor exits: it may have run
-	current.End(finished)
+	current.End(finished, 5)
 	if err := current.Close(); err != nil {
 		t.Fatal(err)
 	}
@@ -187,7 +187,7 @@
 	if err != nil || len(takenOver) != 1 || takenOver[0].Trace != "held" || takenOver[0].MayHaveRunAt != 5 {
 		t.Fatalf("took over %+v, error %v; want the message held alone, which may have run at 5", takenOver, err)
 	}
-	successor.End(own)
+	successor.End(own, 5)
 	successor.Close()
 	_, live := open(t, dir, 1<<20)
 	if len(live) != 1 || live[0].Trace != "held" {
--- a/internal/journal/open.go
+++ b/internal/journal/open.go
@@ -29,7 +29,8 @@
 // OpenFS is like Open, on the given files. If the directory is temporarily not writable, the entries are returned all
 // the same, and the first successful Flush catches up on the writes.
 func OpenFS(files fsys.Opener, account *statedir.Account) (*Journal, []*Entry, error) {
-	j := &Journal{files: files, name: fileName, account: account, live: map[uint64]*Entry{}, nextNumber: 1}
+	j := newJournal()
+	j.files, j.name, j.account = files, fileName, account
 	// A process that died during a compaction leaves its unfinished file behind; the journals themselves are intact. A
 	// file that can't be removed is overwritten by the next compaction.
 	files.Remove(fileName + newSuffix)
@@ -43,7 +44,13 @@
 		return nil, nil, err
 	}
 	j.replay(successorData)
+	ofSuccessor := j.entries()
 	j.replay(data)
+	if len(ofSuccessor) > 0 {
+		predecessor := newJournal()
+		predecessor.replay(data)
+		j.dropDuplicates(ofSuccessor, predecessor)
+	}
 	for _, e := range j.live {
 		e.endAttempt(true)
 	}
@@ -60,6 +67,7 @@
 		j.reopen()
 	}
 	j.claimSpace(0, 0)
+	j.openIDLock() // tried again by LockIDs
 	return j, j.entries(), nil
 }
 
@@ -74,7 +82,7 @@
 	if err != nil {
 		return
 	}
-	valid := (&Journal{live: map[uint64]*Entry{}}).replay(data)
+	valid := newJournal().replay(data)
 	j.file, j.size, j.torn = f, int64(valid), len(data) > valid
 }
 
@@ -115,14 +123,15 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	current := &Journal{live: map[uint64]*Entry{}, nextNumber: 1}
+	current := newJournal()
 	current.replay(data)
-	j := &Journal{files: files, name: successorName, account: account, live: map[uint64]*Entry{}, nextNumber: 1}
+	j := newJournal()
+	j.files, j.name, j.account = files, successorName, account
 	j.replay(left)
 	for num, e := range j.live {
 		e.endAttempt(true)
 		if current.live[num] != nil { // the predecessor took over this file, but could not remove it yet
-			delete(j.live, num)
+			j.removeLive(num)
 		}
 	}
 	j.nextNumber = max(j.nextNumber, current.nextNumber+successorNumberGap)
@@ -130,12 +139,14 @@
 		return nil, nil, fmt.Errorf("journal: compact: %w", err)
 	}
 	j.claimSpace(0, 0)
+	j.openIDLock() // tried again by LockIDs
 	return j, j.entries(), nil
 }
 
 // TakeOver turns a successor's journal into the main journal, once the predecessor has exited: the predecessor's
-// entries are merged, and the merged file replaces the main one. It returns the predecessor's entries, in the order
-// of their numbers; nil if this is the main journal already. If the predecessor's file can't be read, it returns an
+// entries are merged, and the merged file replaces the main one. Own entries whose IDs the predecessor had taken are no
+// longer live. It returns the predecessor's entries, in the order of their numbers; nil if this is the main journal
+// already. If the predecessor's file can't be read, it returns an
 // error and changes nothing: it may be called again. If the merged file can't be written, the next Flush tries again.
 func (j *Journal) TakeOver() ([]*Entry, error) {
 	if j.name == fileName {
@@ -145,12 +156,15 @@
 	if err != nil {
 		return nil, err
 	}
-	previous := &Journal{live: map[uint64]*Entry{}, nextNumber: 1}
+	previous := newJournal()
 	previous.replay(data)
+	j.dropDuplicates(j.entries(), previous)
 	for _, e := range previous.live {
 		e.endAttempt(true)
-		j.live[e.Num] = e
+		j.setLive(e)
 	}
+	j.ids.addAllEnded(&previous.ids)
+	j.forgetOther()
 	j.name, j.superseded = fileName, []string{successorName}
 	if err := j.compact(); err != nil { // replaces the predecessor's file atomically
 		j.closeFile()
--- a/internal/lab/capacity/measure_sender.go
+++ b/internal/lab/capacity/measure_sender.go
@@ -252,7 +252,7 @@
 		j.Accept(accepted)
 		j.StartAttempt(accepted, time.Now().UnixMilli(), 0)
 		j.EndAttempt(accepted, false)
-		j.End(accepted)
+		j.End(accepted, time.Now().UnixMilli())
 		total += len(j.RecordsToCopy())
 	}
 	return float64(total) / 1e3, j.Close()
--- a/internal/sender/copies.go
+++ b/internal/sender/copies.go
@@ -261,8 +261,7 @@
 			s.events = append(s.events, policy.Event{Kind: policy.EvWithdrawn, ID: m.Num})
 			s.dropUnsent(m.call)
 			s.observeMessageEnd(m.Entry, telemetry.EndingWithdrawn, 0)
-			s.journal.End(m.Entry)
-			s.ended.add(m.Trace, s.now)
+			s.journal.End(m.Entry, int64(s.now))
 			s.forget(m)
 			n++
 		}
@@ -270,7 +269,7 @@
 	for num, e := range s.pendingNotices {
 		if num <= a.Upto {
 			delete(s.pendingNotices, num)
-			s.journal.End(e)
+			s.journal.End(e, int64(s.now))
 			n++
 		}
 	}
@@ -479,7 +478,7 @@
 	s.events = append(s.events, policy.Event{Kind: policy.EvWithdrawn, ID: m.Num})
 	s.stepDue = true
 	s.dropUnsent(m.call)
-	s.journal.End(m.Entry)
+	s.journal.Revoke(m.Entry)
 	s.forget(m)
 }
 
--- a/internal/sender/firstmessage_test.go
+++ b/internal/sender/firstmessage_test.go
@@ -62,10 +62,10 @@
 	s.listedDests[3] = true
 	s.submit("leader", 0, 1500*time.Millisecond)
 	s.runStep() // no endpoint is listed yet
-	first = s.messages[s.numByTrace["leader"]]
+	first = s.held("leader")
 	first.acceptedAt -= 2 * disconnectDetectionMS
 	s.submit("other", 2, 20*time.Second)
-	other = s.messages[s.numByTrace["other"]]
+	other = s.held("other")
 	s.listEndpoint(p.Listener.Addr().String())
 	s.runStep()
 	select {
@@ -132,7 +132,7 @@
 	}
 	p.answer <- struct{}{}
 	s.await("the call does not end", func() bool { return len(s.calls) == 0 })
-	if !s.ended.ids["leader"] {
+	if !s.delivered("leader") {
 		t.Error("the first message is not delivered")
 	}
 }
--- a/internal/sender/journal_test.go
+++ b/internal/sender/journal_test.go
@@ -37,7 +37,7 @@
 func TestNoVerdictWhileRecordMayBeOnDisk(t *testing.T) {
 	var down atomic.Bool
 	s := newFailingTestSender(t, func(op string) (f fsys.Fault) {
-		if down.Load() {
+		if down.Load() && op != "read" {
 			f = fsys.Fault{Err: syscall.EIO, BytesWritten: 1 << 20} // writes everything, but reports an error
 		}
 		return f
--- a/internal/sender/options.go
+++ b/internal/sender/options.go
@@ -56,8 +56,6 @@
 		clock: o.Clock, stormGuard: o.StormGuard, observer: observer{Recorder: o.Recorder, logRecords: o.LogRecords, log: o.Log},
 		partner: o.Partner, http2Streams: o.HTTP2Streams,
 		messages:       map[uint64]*message{},
-		numByTrace:     map[string]uint64{},
-		ended:          endedIDs{ids: map[string]bool{}},
 		listedDests:    map[int]bool{},
 		pendingNotices: map[uint64]*journal.Entry{},
 		endpoints:      map[uint32]discovery.Endpoint{},
--- a/internal/sender/outcomes.go
+++ b/internal/sender/outcomes.go
@@ -105,15 +105,14 @@
 		if e := s.pendingNotices[num]; e != nil {
 			delete(s.pendingNotices, num)
 			s.observer.logNotice(e, "acknowledged", s.now)
-			s.journal.End(e)
+			s.journal.End(e, int64(s.now))
 		}
 	}
 }
 
 // complete ends a message that needs no notice.
 func (s *Sender) complete(m *message) {
-	s.journal.End(m.Entry)
-	s.ended.add(m.Trace, s.now)
+	s.journal.End(m.Entry, int64(s.now))
 	s.forget(m)
 }
 
@@ -131,7 +130,6 @@
 func (s *Sender) forget(m *message) {
 	s.abandonIfFirst(m.call, m)
 	delete(s.messages, m.Num)
-	delete(s.numByTrace, m.Trace)
 	s.stormGuard.AdjustHeld(s.now, m.Dest, -1)
 }
 
--- a/internal/sender/overdue.go
+++ b/internal/sender/overdue.go
@@ -43,7 +43,6 @@
 // abandon ends an accepted message that was not delivered, with a notice.
 func (s *Sender) abandon(m *message, ending int, observed telemetry.Ending, retryAfterMS float64) {
 	s.dropUnsent(m.call)
-	s.ended.add(m.Trace, s.now)
 	s.forget(m)
 	s.observeMessageEnd(m.Entry, observed, retryAfterMS)
 	s.endWithNotice(m.Entry, ending, retryAfterMS)
--- a/internal/sender/repeatwindow_test.go
+++ b/internal/sender/repeatwindow_test.go
@@ -30,7 +30,7 @@
 	if !first.WriteBy.IsZero() {
 		t.Errorf("a first attempt must be written by %v, want no limit", first.WriteBy)
 	}
-	began := time.UnixMilli(s.messages[s.numByTrace["keyed"]].MayHaveRunAt)
+	began := time.UnixMilli(s.held("keyed").MayHaveRunAt)
 	if !began.Equal(time.UnixMilli(0)) {
 		t.Fatalf("recorded as possibly delivered before its call has ended: %v", began)
 	}
@@ -40,7 +40,7 @@
 	}
 	s.handleInput(input{call: first, events: events})
 	s.runStep()
-	m, safe := s.messages[s.numByTrace["keyed"]], s.messages[s.numByTrace["safe"]]
+	m, safe := s.held("keyed"), s.held("safe")
 	s.await("the message is not repeated", func() bool { return m.call != nil })
 	window := float64(m.MayHaveRunAt) + testClasses[1].DedupWindow
 	left := window - s.now - float64(time.Until(m.call.WriteBy))/1e6
--- a/internal/sender/restored_test.go
+++ b/internal/sender/restored_test.go
@@ -64,7 +64,7 @@
 	s := newTestSender(t, dir, ln.Addr().String(), testSettings())
 	s.submit("m", 0, 20*time.Second)
 	s.runStep()
-	if s.messages[s.numByTrace["m"]].call == nil {
+	if s.held("m").call == nil {
 		t.Fatal("no call in progress")
 	}
 	s.journal.Close()
--- a/internal/sender/rig_test.go
+++ b/internal/sender/rig_test.go
@@ -77,6 +77,26 @@
 	return sub.verdict
 }
 
+// held returns the message with an ID, nil if none is held.
+func (s *testSender) held(trace string) *message {
+	for _, m := range s.messages {
+		if m.Trace == trace {
+			return m
+		}
+	}
+	return nil
+}
+
+// delivered reports whether a message that was accepted has ended without a notice.
+func (s *testSender) delivered(trace string) bool {
+	for _, e := range s.pendingNotices {
+		if e.Trace == trace {
+			return false
+		}
+	}
+	return s.held(trace) == nil && s.journal.IDTaken(trace)
+}
+
 // await handles inputs and runs steps until ok returns true. After testTimeout the test fails with the text what.
 func (s *testSender) await(what string, ok func() bool) {
 	s.t.Helper()
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -21,14 +21,12 @@
 )
 
 const (
-	inputQueueSize     = 256                     // inputs buffered for the next step
-	maxStepInputs      = 512                     // queued inputs handled in one step
-	stopSendWindow     = 2500 * time.Millisecond // how long after a stop request new calls may begin
-	stopTimeout        = 3000 * time.Millisecond // the longest time from a stop request to the exit
-	endedIDRetentionMS = 30000.0                 // how long the ID of an ended message is remembered
-	maxEndedIDs        = 8192                    // IDs of ended messages that are remembered
-	maxDialTimeoutMS   = 500.0                   // limit and default of the settings' dial timeout, see New
-	maxBusyRetryMS     = 1000.0                  // largest Retry-After of a refusal for lack of capacity
+	inputQueueSize   = 256                     // inputs buffered for the next step
+	maxStepInputs    = 512                     // queued inputs handled in one step
+	stopSendWindow   = 2500 * time.Millisecond // how long after a stop request new calls may begin
+	stopTimeout      = 3000 * time.Millisecond // the longest time from a stop request to the exit
+	maxDialTimeoutMS = 500.0                   // limit and default of the settings' dial timeout, see New
+	maxBusyRetryMS   = 1000.0                  // largest Retry-After of a refusal for lack of capacity
 
 	journalRetryInterval = 20 * time.Millisecond // between steps while the journal can't be written
 )
@@ -132,8 +130,6 @@
 	observer   observer
 
 	messages        map[uint64]*message // accepted and not ended, without those in pendingNotices
-	numByTrace      map[string]uint64
-	ended           endedIDs
 	listedDests     map[int]bool
 	destLimitLogged bool                          // the error about MaxDestinations has been logged
 	pendingNotices  map[uint64]*journal.Entry     // ended messages whose notice has not been accepted yet
@@ -150,6 +146,8 @@
 	events          []policy.Event          // for the next step
 	actions         []policy.Action
 	submissions     []*pendingSubmission
+	deferred        []*submission    // arrived while the other process of an upgrade accepted messages
+	idLockFailed    bool             // the last attempt to lock the IDs failed, other than for the other process
 	newCalls        []*outbound.Call // of the current step
 	stepDue         bool             // a step is due without further input
 	journalFailed   bool             // the last journal write failed: no message is accepted or sent
@@ -206,7 +204,6 @@
 	}
 	s.messages[e.Num] = &message{Entry: e, class: class}
 	s.watchDeadline(s.messages[e.Num])
-	s.numByTrace[e.Trace] = e.Num
 	s.stormGuard.AdjustHeld(s.now, e.Dest, 1)
 	s.observeAccepted(e, class, true)
 	ev := policy.Event{
@@ -286,7 +283,7 @@
 			s.events = append(s.events, policy.Event{Kind: policy.EvWithdrawn, ID: m.Num})
 			s.dropUnsent(m.call)
 			s.observeMessageEnd(m.Entry, telemetry.EndingWithdrawn, 0)
-			s.journal.End(m.Entry)
+			s.journal.Revoke(m.Entry)
 			s.forget(m)
 		}
 	case in.disable != nil:
@@ -309,6 +306,7 @@
 // step runs the module and executes its actions. The journal is written first, then clients are answered, then calls
 // start. With copies, answers and calls may wait for later steps, see awaitHolders.
 func (s *Sender) step() {
+	s.handleDeferred()
 	if s.timerToken != 0 && s.now >= s.timerAt {
 		s.events = append(s.events, policy.Event{Kind: policy.EvTimer, Token: s.timerToken})
 		s.timerToken = 0
@@ -326,6 +324,7 @@
 	s.endOverdue()
 	err := s.journal.Flush()
 	s.handleFlushResult(err)
+	s.unlockIDs()
 	if s.copies != nil && err == nil {
 		s.awaitHolders(s.sendCopies())
 		s.answerConfirmed()
@@ -391,6 +390,9 @@
 			}
 		}
 	}
+	if len(s.deferred) > 0 {
+		wait = min(wait, idLockRetryInterval)
+	}
 	if !s.stopRequestedAt.IsZero() {
 		wait = min(wait, 50*time.Millisecond) // the conditions of the exit are polled
 	}
--- a/internal/sender/stopping_test.go
+++ b/internal/sender/stopping_test.go
@@ -72,7 +72,7 @@
 	delivered := s.submit("delivered", 2, 20*time.Second)
 	s.runStep()
 	<-delivered
-	m := s.messages[s.numByTrace["delivered"]]
+	m := s.held("delivered")
 	if m == nil || m.call == nil {
 		t.Fatal("no call in progress")
 	}
@@ -156,7 +156,7 @@
 	if !(<-verdict).Accepted {
 		t.Fatal("the message is refused")
 	}
-	s.module.Step(s.now, []policy.Event{{Kind: policy.EvWithdrawn, ID: s.numByTrace["lost"]}}, nil)
+	s.module.Step(s.now, []policy.Event{{Kind: policy.EvWithdrawn, ID: s.held("lost").Num}}, nil)
 	s.await("the message has no notice", func() bool { return len(s.notices) > 0 })
 	if late := s.now - float64(s.pendingNotices[(<-s.notices).Num].Deadline); late > 300 {
 		t.Errorf("the notice comes %.0f ms after the deadline, want 300 at most", late)
--- a/internal/sender/submissions.go
+++ b/internal/sender/submissions.go
@@ -43,12 +43,12 @@
 func (s *Sender) Withdraw(num uint64) { s.post(input{withdrawn: num}) }
 
 // handleSubmission refuses a message at once, or journals it and passes it to the module, which decides on it in
-// the coming step.
+// the coming step. While the other process of an upgrade accepts messages, it defers the message.
 func (s *Sender) handleSubmission(sub *submission) {
 	m := sub.msg
 	left := float64(m.Remaining-time.Since(sub.received)) / 1e6
-	switch _, held := s.numByTrace[string(m.Trace)]; {
-	case held, s.ended.ids[string(m.Trace)]:
+	switch {
+	case s.journal.IDTaken(string(m.Trace)):
 		// Every submission has an ID of its own, so this is not a client's retry. It gets no number: if its answer
 		// were lost, the first message would be withdrawn although its client is owed an end.
 		sub.verdict <- Verdict{Duplicate: true}
@@ -66,6 +66,12 @@
 		s.observeRefused(m.Dest, s.refusalCause())
 		sub.verdict <- Verdict{RetryAfterMS: s.refusalRetryAfter(m.Dest, m.Key, max(left, 0), s.busyRetryAfter()), TooFewHolders: s.lacksLease()}
 		return
+	case !s.lockIDs():
+		s.deferred = append(s.deferred, sub)
+		return
+	case s.journal.IDTaken(string(m.Trace)): // by the other process
+		sub.verdict <- Verdict{Duplicate: true}
+		return
 	}
 	s.stormGuard.RecordArrival(s.now, m.Dest, keyHash(m.Key), m.Resubmitted)
 	s.stormGuard.AdjustHeld(s.now, m.Dest, 1)
@@ -82,7 +88,6 @@
 	s.journal.Accept(e)
 	s.messages[e.Num] = &message{Entry: e, class: m.Class, acceptedAt: s.now, claim: s.claimFor(m)}
 	s.watchDeadline(s.messages[e.Num])
-	s.numByTrace[e.Trace] = e.Num
 	s.observeAccepted(e, m.Class, false)
 	s.submissions = append(s.submissions, &pendingSubmission{submission: sub, entry: e})
 	s.events = append(s.events, policy.Event{
@@ -113,7 +118,7 @@
 			s.events = append(s.events, policy.Event{Kind: policy.EvWithdrawn, ID: p.entry.Num})
 			s.stepDue = true
 			if m := s.messages[p.entry.Num]; m != nil {
-				s.journal.End(m.Entry)
+				s.journal.Revoke(m.Entry)
 				s.forget(m)
 			}
 			p.verdict <- Verdict{RetryAfterMS: maxBusyRetryMS}
@@ -144,7 +149,7 @@
 			p.refused, p.retryAfterMS = true, retryAfterMS
 			s.observeMessageEnd(m.Entry, telemetry.EndingNotAccepted, 0)
 			s.observeRefused(m.Dest, telemetry.CauseLoad)
-			s.journal.End(m.Entry)
+			s.journal.Revoke(m.Entry)
 			s.forget(m)
 			return
 		}
--- a/internal/sender/takeover.go
+++ b/internal/sender/takeover.go
@@ -133,7 +133,7 @@
 	for _, num := range t.entryNums {
 		if e := s.copies.pendingEntries[num]; e != nil {
 			delete(s.copies.pendingEntries, num)
-			s.journal.End(e)
+			s.journal.Revoke(e)
 		}
 	}
 	if s.copies.takeovers[t.Owner] == t {
@@ -209,7 +209,7 @@
 			for num, e := range c.pendingEntries {
 				if journalOwner(e.TakeoverDuty) == key.owner && e.TakeoverToken == key.token {
 					delete(c.pendingEntries, num)
-					s.journal.End(e)
+					s.journal.Revoke(e)
 				}
 			}
 			if t != nil && t.Epoch == key.token {
--- a/internal/sender/upgrade.go
+++ b/internal/sender/upgrade.go
@@ -3,6 +3,8 @@
 import (
 	"sliptide/internal/discovery"
 	"sliptide/internal/operate"
+	"sliptide/internal/telemetry"
+	"sliptide/policy"
 )
 
 // This file implements the sender's side of an upgrade. A new version of the program, the successor, starts in the same
@@ -46,6 +48,7 @@
 		return err
 	}
 	s.successor = false
+	s.dropDuplicates()
 	noticesBefore := len(s.pendingNotices)
 	for _, e := range entries {
 		s.restore(e)
@@ -61,6 +64,21 @@
 	return nil
 }
 
+// dropDuplicates drops the messages whose IDs the running version had taken, too. Only a version that takes no lock on
+// the IDs leaves any. The messages of the running version stay, since it may have sent them.
+func (s *Sender) dropDuplicates() {
+	for _, m := range s.messages {
+		if s.journal.IsLive(m.Entry) {
+			continue
+		}
+		s.log.Warn().Str("trace", m.Trace).Msg("upgrade: both versions accepted a message with this ID; the earlier version's is kept")
+		s.events = append(s.events, policy.Event{Kind: policy.EvWithdrawn, ID: m.Num})
+		s.observeMessageEnd(m.Entry, telemetry.EndingWithdrawn, 0)
+		s.dropUnsent(m.call)
+		s.forget(m)
+	}
+}
+
 // holdList keeps an endpoint list for the module until the successor takes over. Messages for its destinations are
 // accepted from now on, and operators can disable its endpoints.
 func (s *Sender) holdList(l *discovery.List) {
--- a/internal/statedir/statedir.go
+++ b/internal/statedir/statedir.go
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"sliptide/internal/fsys"
 )
 
 const (
@@ -31,7 +33,7 @@
 		return nil, fmt.Errorf("state directory: open lock: %w", err)
 	}
 	for deadline := time.Now().Add(timeout); ; time.Sleep(lockPollInterval) {
-		err := tryLock(f)
+		err := fsys.TryLock(f)
 		switch {
 		case err == nil:
 			return &DirLock{f}, nil
@@ -59,7 +61,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("state directory: open lock: %w", err)
 	}
-	if err := tryLock(f); err != nil {
+	if err := fsys.TryLock(f); err != nil {
 		f.Close()
 		if err == syscall.EWOULDBLOCK {
 			return nil, fmt.Errorf("state directory %s: %w", dir, ErrSuccessorWaiting)
@@ -76,16 +78,7 @@
 		return false // no successor has been started in this directory
 	}
 	defer f.Close()
-	return tryLock(f) == syscall.EWOULDBLOCK
-}
-
-// tryLock locks an open file unless another process holds the lock. It is repeated when a signal interrupts it.
-func tryLock(f *os.File) error {
-	for {
-		if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != syscall.EINTR {
-			return err
-		}
-	}
+	return fsys.TryLock(f) == syscall.EWOULDBLOCK
 }
 
 // SetHolder writes a description of the holder into the lock file, for a process that finds the directory
