--- a/internal/sender/copies.go
+++ b/internal/sender/copies.go
@@ -40,7 +40,7 @@
 	Required        int            // holders that must acknowledge a message before its client is answered
 	RequiredByClass map[string]int // for classes with another number, by name
 	Timeout         time.Duration  // limit on the wait for acknowledgements
-	AcceptUncopied  bool           // accept messages although too few holders have acknowledged them in time
+	AcceptUncopied  bool           // accept messages, and send those that may be repeated, although too few holders have acknowledged them in time
 }
 
 // CopyFleet is the fleet as copies need it. No method blocks.
@@ -391,13 +391,54 @@
 		if m == nil {
 			continue
 		}
-		if !m.Confirmed || s.forbidsRepeats(m.Class) {
+		if !m.Confirmed || s.isUnrepeatable(m) {
 			return true
 		}
 	}
 	return false
 }
 
+// isUnrepeatable reports whether the class under which a message was accepted forbids repeats.
+func (s *Sender) isUnrepeatable(m *message) bool {
+	return s.settings.Classes[m.class].Effect == policy.Unsafe
+}
+
+// mayStart reports whether the calls of a wait that has ended may start. Without the acknowledgement of its records that
+// is left to AcceptUncopied, but never for a message that must not be repeated: a successor would send it again.
+func (s *Sender) mayStart(wait *holderWait, call *outbound.Call, acknowledged bool) bool {
+	if acknowledged {
+		return true
+	}
+	if !s.copies.settings.AcceptUncopied {
+		return false
+	}
+	unrepeatable := slices.ContainsFunc(call.Items, func(item outbound.Item) bool {
+		m := s.messages[item.ID]
+		return m != nil && s.isUnrepeatable(m)
+	})
+	return !unrepeatable || s.successorKnows(wait)
+}
+
+// successorKnows reports whether every successor will know the records of a wait: all holders have acknowledged them,
+// though these are fewer than required.
+func (s *Sender) successorKnows(wait *holderWait) bool {
+	c := s.copies
+	return c.leaseHeld && wait.seq != 0 && c.owner.Committed(min(wait.required, c.maxHolders())) >= wait.seq
+}
+
+// maxHolders returns how many holders a successor may find: those that the fleet has agreed on, and those that this
+// sender has requested.
+func (c *copier) maxHolders() int {
+	agreed := c.fleet.View().Journals[c.settings.Name].GetHolders()
+	n := len(agreed)
+	for _, name := range c.requestedHolders {
+		if !slices.Contains(agreed, name) {
+			n++
+		}
+	}
+	return n
+}
+
 // answerConfirmed answers the submissions whose confirmation this step has written and sent.
 func (s *Sender) answerConfirmed() {
 	for _, p := range s.copies.confirmed {
@@ -435,8 +476,9 @@
 	s.answerConfirmed()
 }
 
-// endHolderWait ends a wait: it confirms the submissions and starts the calls if their records were acknowledged or
-// AcceptUncopied is set; otherwise it refuses and drops them. It always refuses messages that a successor holds.
+// endHolderWait ends a wait: it confirms the submissions if their records were acknowledged or AcceptUncopied is set, and
+// starts the calls that may start; otherwise it refuses and drops them. It always refuses messages that a successor
+// holds.
 func (s *Sender) endHolderWait(wait *holderWait, acknowledged bool) {
 	if wait.done != nil {
 		wait.done(acknowledged)
@@ -462,7 +504,7 @@
 		}
 	}
 	for _, call := range wait.calls {
-		if accept && s.calls[call] && !s.anyTakenOver(call) {
+		if s.mayStart(wait, call, acknowledged) && s.calls[call] && !s.anyTakenOver(call) {
 			s.startCall(call)
 		} else {
 			s.dropUnsent(call)
--- a/internal/sender/takeover.go
+++ b/internal/sender/takeover.go
@@ -75,10 +75,10 @@
 	}
 }
 
-// forbidsRepeats reports whether the class of that name forbids repeats; false if this process knows no such class.
+// forbidsRepeats reports whether the class of that name forbids repeats; true if this process knows no such class.
 func (s *Sender) forbidsRepeats(name string) bool {
 	class, _ := s.ClassOf([]byte(name))
-	return class >= 0 && s.settings.Classes[class].Effect == policy.Unsafe
+	return class < 0 || s.settings.Classes[class].Effect == policy.Unsafe
 }
 
 // importEntries writes the entries found to this sender's own journal. Once they are copied, the fleet is asked to
