--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -67,7 +67,7 @@
 
 // knownKinds holds all record kinds that this version understands.
 const knownKinds = string(recAccepted) + string(recStart) + string(recOutcome) + string(recNoticeOwed) + string(recEnd) +
-	string(recConfirmed) + string(recTakeover) + string(recTraceParent) + string(recHold) + string(recEndedIDs)
+	string(recConfirmed) + string(recTakeover) + string(recTraceParent) + string(recHold) + string(recEndedIDs) + string(recLastNumber)
 
 const (
 	fileName      = "journal"
@@ -105,6 +105,8 @@
 	holds      map[holdKey]Hold // recorded only if copies are enabled
 	liveBytes  int64            // bytes of the live entries in a compacted file
 	nextNumber uint64
+	// numbersKnown is set if nextNumber is above every number that was ever assigned, not only above those in the file.
+	numbersKnown bool
 }
 
 // newJournal returns an empty journal without files, for records that are read.
@@ -149,12 +151,6 @@
 	return list
 }
 
-// NextNumber returns a message number that has not been used.
-func (j *Journal) NextNumber() uint64 {
-	j.nextNumber++
-	return j.nextNumber - 1
-}
-
 // HasSpace reports whether an entry with a body of that size may be accepted. The
 // file, the pending records and a compacted copy must fit the disk space together at
 // all times: otherwise a burst of large messages could leave no space to compact.
@@ -288,12 +284,6 @@
 // LiveBytes returns the size of the live entries in a compacted file.
 func (j *Journal) LiveBytes() int64 { return j.liveBytes }
 
-// SkipNumbers marks all numbers up to last as used.
-func (j *Journal) SkipNumbers(last uint64) { j.nextNumber = max(j.nextNumber, last+1) }
-
-// LastNumber returns the highest number that has been assigned.
-func (j *Journal) LastNumber() uint64 { return j.nextNumber - 1 }
-
 // appendTraceParent appends the trace context as a record.
 func (e *Entry) appendTraceParent(b []byte) []byte {
 	start := len(b)
@@ -467,6 +457,7 @@
 		b = appendFrame(b, h.appendTo)
 	}
 	b = j.ids.appendRecord(b)
+	b = appendFrame(b, j.appendLastNumber)
 	tempName := j.name + newSuffix
 	f, err := j.files.Open(tempName, true)
 	if err != nil {
@@ -551,6 +542,10 @@
 		return j.ids.replayRecord(d.b)
 	}
 	num := d.uvarint()
+	if payload[0] == recLastNumber {
+		j.replayLastNumber(num, d.err)
+		return d.err
+	}
 	if payload[0] == recAccepted {
 		e := d.entry(num)
 		if j.dropBodies {
--- a/internal/journal/open.go
+++ b/internal/journal/open.go
@@ -51,6 +51,7 @@
 		predecessor.replay(data)
 		j.dropDuplicates(ofSuccessor, predecessor)
 	}
+	j.skipUnknownNumbers(successorData, data)
 	for _, e := range j.live {
 		e.endAttempt(true)
 	}
@@ -107,10 +108,6 @@
 	return data, nil
 }
 
-// successorNumberGap separates the message numbers of a successor from those of the current process, which assigns
-// further numbers while both run.
-const successorNumberGap = 1 << 32
-
 // OpenSuccessor creates the journal of a process that starts while its predecessor still uses the state directory: a
 // file of its own, with numbers above all those in the predecessor's journal. If an earlier successor has died before
 // it took over, its entries are kept: they are in no other file. They are returned in the order of their numbers.
@@ -125,6 +122,7 @@
 	}
 	current := newJournal()
 	current.replay(data)
+	current.skipUnknownNumbers(data)
 	j := newJournal()
 	j.files, j.name, j.account = files, successorName, account
 	j.replay(left)
@@ -164,6 +162,7 @@
 		j.setLive(e)
 	}
 	j.ids.addAllEnded(&previous.ids)
+	j.nextNumber = max(j.nextNumber, previous.nextNumber)
 	j.forgetOther()
 	j.name, j.superseded = fileName, []string{successorName}
 	if err := j.compact(); err != nil { // replaces the predecessor's file atomically
