Copies sent after a restart tell the highest message number

After a restart it sent its live entries with 0, so that a takeover right then covered no number, and the owner, once back, would drop nothing of what its heir has.

Evidence: before the change TestCopiesAfterRestartTellHighestNumber saw 0 where 3 was wanted, after an orderly end and after a kill; it passes now. On processes it was not played.

--- a/internal/fleet/copies/copies.go
+++ b/internal/fleet/copies/copies.go
@@ -82,6 +82,9 @@
 // SetIncarnation sets the incarnation of the state directory that contains the journal.
 func (o *Owner) SetIncarnation(incarnation uint64) { o.incarnation = incarnation }
 
+// SetLastNumber sets the highest message number assigned so far, also by earlier processes.
+func (o *Owner) SetLastNumber(lastNumber uint64) { o.lastNumber = max(o.lastNumber, lastNumber) }
+
 // SetClockOffset sets the offset, in milliseconds, from the caller's monotonic clock to the clock of deadlines, which
 // is in Unix milliseconds.
 func (o *Owner) SetClockOffset(offsetMS int64) { o.clockOffsetMS = offsetMS }
--- a/internal/sender/adoption_test.go
+++ b/internal/sender/adoption_test.go
@@ -77,3 +77,22 @@
 		})
 	}
 }
+
+// Guards against a takeover that covers no number of the messages taken over, so that their owner, once back, sends them too.
+func TestCopiesAfterRestartTellHighestNumber(t *testing.T) {
+	for _, killed := range []bool{false, true} {
+		s := newTestSender(t, t.TempDir(), "", testSettings())
+		s.listedDests[3] = true
+		for i := range 3 {
+			s.submit(fmt.Sprint("m", i), 2, 15*time.Second)
+		}
+		s.runStep()
+		s = s.restart(killed)
+		f := enableTestCopies(s, CopySettings{Required: 1, Timeout: 20 * time.Millisecond}, "b")
+		for _, c := range f.sent {
+			if last := s.Sender.journal.LastNumber(); c.Upto < last {
+				t.Errorf("killed %t: a copy tells %d as the highest number, want %d, that of a message in it", killed, c.Upto, last)
+			}
+		}
+	}
+}
--- a/internal/sender/copies.go
+++ b/internal/sender/copies.go
@@ -314,6 +314,7 @@
 	if records := s.journal.RecordsToCopy(); len(records) > 0 {
 		seq = c.owner.Append(now, records, s.journal.LastNumber(), func() []byte { return journal.Compact(s.journal.Snapshot()) })
 	}
+	c.owner.SetLastNumber(s.journal.LastNumber())
 	for _, o := range c.owner.TakeOutgoing(now, s.journal.Snapshot) {
 		c.fleet.SendCopy(o.To, o.Frame)
 	}
