Soak: a client hands in messages under ids that the sender has accepted

Change: such a client beside each sender, with draws of its own, so that the faults of a seed stay as they were; a 202 for a taken id is a violation.

--- a/cmd/sliptide/soak_judge_test.go
+++ b/cmd/sliptide/soak_judge_test.go
@@ -49,6 +49,7 @@
 	mix             soakMix
 	startedAt       time.Time
 	msgs            map[string]*soakMessage
+	acceptedIDs     map[int][]string     // by sender, in the order of their answers
 	waitUntil       map[[2]int]time.Time // by sender and destination: no calls before
 	waitRequestedAt map[[2]int]time.Time
 	outages         map[int][]outage
@@ -65,7 +66,7 @@
 }
 
 func newSoak(seed uint64) *soak {
-	return &soak{rng: rand.New(rand.NewPCG(seed, 34)), mix: soakMixes[seed%uint64(len(soakMixes))], startedAt: time.Now(), msgs: map[string]*soakMessage{},
+	return &soak{rng: rand.New(rand.NewPCG(seed, 34)), mix: soakMixes[seed%uint64(len(soakMixes))], startedAt: time.Now(), msgs: map[string]*soakMessage{}, acceptedIDs: map[int][]string{},
 		waitUntil: map[[2]int]time.Time{}, waitRequestedAt: map[[2]int]time.Time{}, outages: map[int][]outage{},
 		terminatedAt: map[int]time.Time{}, killing: map[int]bool{}, killedAt: map[int]time.Time{}, upgrading: map[int]bool{}, leftUnanswered: map[int]int{}}
 }
@@ -104,6 +105,7 @@
 	switch {
 	case status == 202:
 		m.accepted = true
+		s.acceptedIDs[m.sender] = append(s.acceptedIDs[m.sender], id)
 	case status == 429 || status == 503:
 		m.refused = true
 		if m.effects > 0 {
--- a/cmd/sliptide/soak_test.go
+++ b/cmd/sliptide/soak_test.go
@@ -20,7 +20,7 @@
 
 // TestSoakOfFaults runs senders against faulty partners, discovery agents, clients, signals, disks and clocks, and
 // checks the delivery guarantees against what all of them observed: each accepted message ends in time, no refused one
-// is called, none of a class that forbids it takes effect twice, no two attempts of a message overlap, and no call is
+// is called, no ID is accepted twice, none of a class that forbids it takes effect twice, no two attempts of a message overlap, and no call is
 // made during a requested wait. Each sender must answer on new connections, be ready in time after a restart or an
 // upgrade and exit with status 0 on SIGTERM. SLIPTIDE_SOAK_SEEDS sets the number of seeds, SLIPTIDE_SOAK_FIRST the first one; CI runs
 // three.
@@ -71,6 +71,7 @@
 			load.Go(func() { n.openIdleConns(stop) })
 		}
 		load.Go(func() { n.injectFaults(stop, binaries) })
+		load.Go(func() { n.submitTakenIDs(rand.New(rand.NewPCG(seed, 2000+uint64(i))), stop) })
 	}
 	time.AfterFunc(soakSubmitDuration, func() { close(stop) })
 	load.Wait()
