A sender without free descriptors finds that it has no successor

Change: OpenTail asks for the file first, which takes no descriptor.

Evidence: TestMessagesAreAcceptedWithoutDescriptors failed before (429) and passes.

--- a/cmd/sliptide/sameid_test.go
+++ b/cmd/sliptide/sameid_test.go
@@ -76,3 +76,15 @@
 		})
 	}
 }
+
+// Guards against a sender without a successor that refuses messages because it cannot open a file to look for one.
+func TestMessagesAreAcceptedWithoutDescriptors(t *testing.T) {
+	r := newRig(t, nil, "one")
+	r.mustSubmit("before", 0, 15, "")
+	restore := limitDescriptors(t, r.proc, 3)
+	r.mustSubmit("during", 0, 15, "") // on the same connection
+	restore()
+	for range 2 {
+		r.nextCall().respond(200)
+	}
+}
--- a/internal/fsys/osfile.go
+++ b/internal/fsys/osfile.go
@@ -39,8 +39,11 @@
 	path string
 }
 
-// OpenTail implements Opener.
+// OpenTail implements Opener. It finds that there is no such file also while no descriptor is free.
 func (o OS) OpenTail(name string) (Tail, error) {
+	if _, err := os.Lstat(o.path(name)); err != nil {
+		return nil, err
+	}
 	f, err := os.Open(o.path(name))
 	if err != nil {
 		return nil, err
--- a/internal/journal/open.go
+++ b/internal/journal/open.go
@@ -144,8 +144,8 @@
 // TakeOver turns a successor's journal into the main journal, once the predecessor has exited: the predecessor's
 // entries are merged, and the merged file replaces the main one. Own entries whose IDs the predecessor had taken are no
 // longer live. It returns the predecessor's entries, in the order of their numbers; nil if this is the main journal
-// already. If the predecessor's file can't be read, it returns an
-// error and changes nothing: it may be called again. If the merged file can't be written, the next Flush tries again.
+// already. If the predecessor's file can't be read, it returns an error and changes nothing: it may be called again. If
+// the merged file can't be written, the next Flush tries again.
 func (j *Journal) TakeOver() ([]*Entry, error) {
 	if j.name == fileName {
 		return nil, nil
