--- a/review/harness-2/partner.go
+++ b/review/harness-2/partner.go
@@ -118,3 +118,14 @@
 		go e.http.Close()
 	}
 }
+
+// byID returns all calls by message, in order.
+func (p *partners) byID() map[string][]run {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := map[string][]run{}
+	for _, r := range p.runs {
+		m[r.id] = append(m[r.id], r)
+	}
+	return m
+}
