--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,4 +6,5 @@
 mkdir -p ../../bin/review-2
 export GOFLAGS= GOWORK=off GOTOOLCHAIN=local GOPROXY=off
 go build -buildvcs=false -o ../../bin/review-2/play .
+go build -buildvcs=false -o ../../bin/review-2/heir ./heir
 go build -buildvcs=false -o ../../bin/review-2/cutoff ./cutoff
