--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -1,7 +1,7 @@
-// Command review-2 plays the cases of the second review: it starts the sender by the run line of the deploy file, with
+// Command play plays the cases of the second review: it starts the sender by the run line of the deploy file, with
 // stand-ins for its clients, its partners and the platform, and judges what these see.
 //
-//	review-2 CASE FOLDER
+//	play CASE FOLDER
 //
 // It writes record.txt into FOLDER and exits with 0 if the rule held, 1 if it was broken and 2 if the case could not run.
 // With TROUBLE=0 in the environment it leaves out the disruption.
@@ -86,7 +86,7 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review-2 CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: play CASE FOLDER")
 		os.Exit(int(cannotRun))
 	}
 	root, err := os.Getwd()
