--- a/cmd/sliptide/fleet_test.go
+++ b/cmd/sliptide/fleet_test.go
@@ -25,6 +25,7 @@
 	relays      map[[2]int]*standin.Relay // of links, by dialling and dialled member; nil unless connectByRelays was used
 	linkAddrs   []string                  // where each member accepts links
 	extraXML    string                    // further content of the fleet element
+	lease       string                    // of each duty
 	operatorXML string
 
 	mu          sync.Mutex
@@ -77,7 +78,7 @@
 // newTestFleetWith is newTestFleet with changes to each sender's rig before it starts.
 func newTestFleetWith(t *testing.T, extraXML string, n int, change func(m *testFleet, i int, r *rig)) *testFleet {
 	t.Parallel()
-	m := &testFleet{t: t, extraXML: extraXML}
+	m := &testFleet{t: t, extraXML: extraXML, lease: "1s"}
 	for range n {
 		m.linkAddrs = append(m.linkAddrs, reserveAddr(t))
 	}
@@ -112,7 +113,7 @@
 	for k := range m.linkAddrs {
 		fmt.Fprintf(&members, `<member name="n%d" addr="%s" zone="a" voter="%t"/>`, k, addr(k), k < 3)
 	}
-	return `<storms enabled="true"/><fleet enabled="true"` + listen + `>` + members.String() + `<duties lease="1s" election="300ms"/>` + m.extraXML + `</fleet>`
+	return `<storms enabled="true"/><fleet enabled="true"` + listen + `>` + members.String() + `<duties lease="` + m.lease + `" election="300ms"/>` + m.extraXML + `</fleet>`
 }
 
 // connectByRelays gives a sender's rig an operators' file in which each other member is reached through a relay.
--- a/cmd/sliptide/losses_test.go
+++ b/cmd/sliptide/losses_test.go
@@ -379,7 +379,21 @@
 			{"count 2 needed 1", `<copies enabled="true" count="2" needed="1" room="16MiB"/>`},
 			{"count 2 needed 2", `<copies enabled="true" count="2" needed="2" room="16MiB"/>`},
 		} {
-			t.Run(fmt.Sprintf("%s at %.0f a second", c.name, rate), func(t *testing.T) { measureCopiesCost(t, c.xml, rate) })
+			t.Run(fmt.Sprintf("%s at %.0f a second", c.name, rate), func(t *testing.T) { measureCopiesCost(t, c.xml, rate, nil) })
+		}
+	}
+}
+
+// TestMeasureCopiesByClass measures the cost of copies for classes whose attempts a successor need not, or must, know of.
+func TestMeasureCopiesByClass(t *testing.T) {
+	if os.Getenv("SLIPTIDE_MEASURE") == "" {
+		t.Skip("a measurement: make copies-price")
+	}
+	for _, rate := range []float64{150, 1000, 3000} {
+		for _, keyScope := range []string{"all", "zone"} {
+			t.Run(fmt.Sprintf("key_scope %s at %.0f a second", keyScope, rate), func(t *testing.T) {
+				measureCopiesCost(t, `<copies enabled="true" count="2" needed="1" room="16MiB"/>`, rate, cutOffClass("keyed", keyScope))
+			})
 		}
 	}
 }
@@ -391,9 +405,14 @@
 	r.config["limits"].(map[string]any)["disk_mb"] = 32.0
 }
 
-// measureCopiesCost measures one configuration at one rate.
-func measureCopiesCost(t *testing.T, xml string, rate float64) {
-	m := newTestFleetWith(t, xml, 3, raiseLimits)
+// measureCopiesCost measures one configuration at one rate. class is the only class; nil: those of every test.
+func measureCopiesCost(t *testing.T, xml string, rate float64, class map[string]any) {
+	m := newTestFleetWith(t, xml, 3, func(m *testFleet, i int, r *rig) {
+		raiseLimits(m, i, r)
+		if class != nil {
+			r.config["settings"].(map[string]any)["services"] = []any{class}
+		}
+	})
 	var mu sync.Mutex
 	sentAt := map[string]time.Time{}
 	var acceptedMS, deliveredMS []float64
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -36,6 +36,9 @@
 	Attempts       int   // attempts started
 	MayHaveRunAt   int64 // when the first attempt that may have run was sent, as Deadline; 0: none
 	MayHaveRunZone int
+	// OutcomeUnknown is set by Replay if the records hold no outcome of the attempt to which MayHaveRunAt and
+	// MayHaveRunZone belong: records that are missing may say that it never ran. It is not stored.
+	OutcomeUnknown bool
 	TraceParent    string // trace context sent by the client, as text; empty: none
 	// Confirmed is used with copies: the client was told that the message is accepted. A sender that takes over from
 	// this one never sends an unconfirmed message.
@@ -214,11 +217,12 @@
 }
 
 // Replay returns the live entries in records copied from another sender's journal. An attempt without an outcome counts
-// as one that may have run.
+// as one that may have run, see Entry.OutcomeUnknown.
 func Replay(records []byte) []*Entry {
 	j := newJournal()
 	j.replay(records)
 	for _, e := range j.live {
+		e.OutcomeUnknown = e.attemptAt != 0 && e.MayHaveRunAt == 0
 		e.endAttempt(true)
 	}
 	return j.entries()
--- a/internal/sender/adoption_test.go
+++ b/internal/sender/adoption_test.go
@@ -6,16 +6,23 @@
 	"time"
 
 	"sliptide/internal/fleet/pb"
+	"sliptide/policy"
 )
 
 // restart ends the process of a sender, in order unless killed is set, and starts the next one.
 func (s *testSender) restart(killed bool) *testSender {
+	s.t.Helper()
+	return s.restartWith(testSettings(), killed)
+}
+
+// restartWith is restart with other settings.
+func (s *testSender) restartWith(set policy.Settings, killed bool) *testSender {
 	s.t.Helper()
 	if !killed {
 		s.shutDown()
 	}
 	s.journal.Close()
-	next := newTestSender(s.t, s.dir, "", testSettings())
+	next := newTestSender(s.t, s.dir, "", set)
 	next.listedDests[3] = true
 	return next
 }
--- a/internal/sender/holderwaits.go
+++ b/internal/sender/holderwaits.go
@@ -80,29 +80,8 @@
 	return n
 }
 
-// mustAwaitHolders reports whether a call must not begin before the records of its messages are copied: if it has a
-// message whose acceptance is not confirmed yet, or one whose class forbids repeats. A successor that does not know of
-// an attempt would repeat it.
-func (s *Sender) mustAwaitHolders(call *outbound.Call) bool {
-	for i := range call.Items {
-		m := s.messages[call.Items[i].ID]
-		if m == nil {
-			continue
-		}
-		if !m.Confirmed || s.isUnrepeatable(m) {
-			return true
-		}
-	}
-	return false
-}
-
-// isUnrepeatable reports whether the class under which a message was accepted forbids repeats.
-func (s *Sender) isUnrepeatable(m *message) bool {
-	return s.settings.Classes[m.class].Effect == policy.Unsafe
-}
-
 // mayStart reports whether the calls of a wait that has ended may start. Without the acknowledgement of its records that
-// is left to AcceptUncopied, but never for a message that must not be repeated: a successor would send it again.
+// is left to AcceptUncopied, but never for a message whose attempt a successor must know of.
 func (s *Sender) mayStart(wait *holderWait, call *outbound.Call, acknowledged bool) bool {
 	if acknowledged {
 		return true
@@ -110,11 +89,11 @@
 	if !s.copies.settings.AcceptUncopied {
 		return false
 	}
-	unrepeatable := slices.ContainsFunc(call.Items, func(item outbound.Item) bool {
+	limitsSuccessor := slices.ContainsFunc(call.Items, func(item outbound.Item) bool {
 		m := s.messages[item.ID]
-		return m != nil && s.isUnrepeatable(m)
+		return m != nil && s.attemptLimitsSuccessor(m)
 	})
-	return !unrepeatable || s.successorKnows(wait)
+	return !limitsSuccessor || s.successorKnows(wait)
 }
 
 // successorKnows reports whether every successor will know the records of a wait: all holders have acknowledged them,
--- a/internal/sender/takeover.go
+++ b/internal/sender/takeover.go
@@ -9,7 +9,6 @@
 	"sliptide/internal/fleet/duty"
 	"sliptide/internal/fleet/pb"
 	"sliptide/internal/journal"
-	"sliptide/policy"
 )
 
 // This file takes over the messages of lost owners: the copies of an owner's journal are sealed and read, its entries
@@ -75,12 +74,6 @@
 	}
 }
 
-// forbidsRepeats reports whether the class of that name forbids repeats; true if this process knows no such class.
-func (s *Sender) forbidsRepeats(name string) bool {
-	class, _ := s.ClassOf([]byte(name))
-	return class < 0 || s.settings.Classes[class].Effect == policy.Unsafe
-}
-
 // importEntries writes the entries found to this sender's own journal. Once they are copied, the fleet is asked to
 // agree to the adoption.
 func (s *Sender) importEntries(t *takeover, d *pb.Duty) {
@@ -99,8 +92,7 @@
 		if e.MayHaveRunAt != 0 {
 			e.MayHaveRunAt += deadlineOffset
 		}
-		if e.MayHaveRunAt == 0 && s.forbidsRepeats(e.Class) && !t.Complete(c.requiredFor(e.Class)) {
-			e.MayHaveRunAt = int64(s.now) // a holder that may know of an attempt is unreachable
+		if !t.Complete(c.requiredFor(e.Class)) && s.assumeAttempt(e) {
 			suspected++
 		}
 		s.journal.Accept(e)
@@ -112,7 +104,7 @@
 	}
 	s.importHolds(t, waitOffset)
 	if suspected > 0 {
-		s.log.Warn().Str("owner", t.Owner).Int("messages", suspected).Msg("copies: holders that may know of attempts are unreachable: messages whose class forbids repeats are not sent")
+		s.log.Warn().Str("owner", t.Owner).Int("messages", suspected).Msg("copies: holders that may know of attempts are unreachable: messages whose class limits repeats count as sent already")
 	}
 	s.stepDue = true // this step writes and copies the entries, to fewer holders if fewer members are left
 	c.waits = append(c.waits, holderWait{required: max(min(c.maxRequired(), len(c.fleet.View().Present)-1), 0), deadline: time.Now().Add(time.Second), done: func(acknowledged bool) {
--- a/policy/api.go
+++ b/policy/api.go
@@ -143,6 +143,9 @@
 // NeverRan reports whether the outcome proves that the attempt did not run.
 func (o Outcome) NeverRan() bool { return o == Full || o == ConnectFailed || o == Moot }
 
+// UnknownZone stands for the zone of an attempt that may have run in any.
+const UnknownZone = -1
+
 // Event is an input of a Sender.
 type Event struct {
 	Kind           EventKind
@@ -157,7 +160,7 @@
 	Attempts       int     // Restored: attempts made so far; they count towards MaxAttempts
 	MayHaveRun     bool    // Restored: one of the attempts may have run
 	MayHaveRunAge  float64 // Restored: time since the first such attempt was sent; not above Step's now
-	MayHaveRunZone int     // Restored: zone of the endpoint of that attempt
+	MayHaveRunZone int     // Restored: zone of the endpoint of that attempt; may be UnknownZone
 	Endpoint       uint32
 	Attempt        int // 0: the first
 	Outcome        Outcome
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -302,7 +302,7 @@
 			m.mayHaveRunAt, m.mayHaveRunZone = s.now-e.MayHaveRunAge, e.MayHaveRunZone
 		}
 		if m.attempts >= s.settings.MaxAttempts || m.mayHaveRunAt >= 0 && c.Effect == Unsafe ||
-			s.sendDeadline(m) <= s.now {
+			m.mayHaveRunAt >= 0 && c.ZoneScope && m.mayHaveRunZone == UnknownZone || s.sendDeadline(m) <= s.now {
 			s.endUndelivered(m)
 			return
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -207,6 +207,17 @@
 	r.requireAction(actions, ActFail, 1, "final answer")
 }
 
+// Guards against a message that may have run in any zone and is sent, or held until its deadline.
+func TestRestoredMessageOfUnknownZoneFailsAtOnce(t *testing.T) {
+	set := testSettings()
+	set.Classes[classKeyed].ZoneScope = true
+	r := newRig(t, set, ready(1, 0, 2))
+	actions := r.step(Event{Kind: EvMessage, ID: 1, Class: classKeyed, Remaining: 5000, Restored: true, Attempts: 1,
+		MayHaveRun: true, MayHaveRunAge: 100, MayHaveRunZone: UnknownZone})
+	r.forbidAction(actions, ActSend, 1, "its zone may not be that of the attempt")
+	r.requireAction(actions, ActFail, 1, "final answer")
+}
+
 // An endpoint that drains or is gone receives nothing new; once ready again, it is used.
 func TestDrain(t *testing.T) {
 	for _, st := range []EndpointState{Draining, Gone} {
