Takeover: a message that may have run is not returned for lack of a confirmation

What callers would see: a message of a class that must not be returned after an attempt (unsafe, keyed with a zone's scope) is handed back by a successor, handed in again and run twice.

Cause: an owner may send as soon as acceptance and attempt are copied; the record that its client was answered follows a step later. A successor whose copy ends in between returned every message without that record, whatever its attempts.

Change: unsentEnding gives such a message up if it may have run and its class forbids returning it. It still is not sent.

--- a/internal/sender/successorknowledge.go
+++ b/internal/sender/successorknowledge.go
@@ -46,6 +46,20 @@
 	}
 }
 
+// mayReturn reports whether a message of a class may be returned to its client after an attempt that may have run.
+func mayReturn(class *policy.Class) bool {
+	return class.Effect == policy.Safe || class.Effect == policy.Keyed && !class.ZoneScope
+}
+
+// unsentEnding returns the ending of an undelivered message that this sender is not to send: it is returned to its client,
+// unless an attempt of the lost owner forbids that.
+func (s *Sender) unsentEnding(e *journal.Entry) int {
+	if class := s.classNamed(e.Class); e.MayHaveRunAt != 0 && !mayReturn(&class) {
+		return journal.EndingAbandoned
+	}
+	return journal.EndingReturned
+}
+
 // classNamed returns the present definition of a class. One that this process does not know counts as unsafe.
 func (s *Sender) classNamed(name string) policy.Class {
 	if i, class := s.ClassOf([]byte(name)); i >= 0 {
--- a/internal/sender/successorknowledge_test.go
+++ b/internal/sender/successorknowledge_test.go
@@ -205,3 +205,25 @@
 		}
 	}
 }
+
+// Guards against a message that is returned to its client although it may have run: the lost owner sent it as soon as its
+// acceptance and its attempt were copied, but the record that its client was answered was not.
+func TestUnconfirmedMessageThatMayHaveRunIsNotReturned(t *testing.T) {
+	for _, class := range limitClasses() {
+		for attempts, name := range []string{"no attempt", "open attempt", "attempt may have run", "attempt never ran"} {
+			t.Run(class.Name+" "+name, func(t *testing.T) {
+				s := newTestSender(t, t.TempDir(), "", limitSettings())
+				f := enableTestCopies(s, CopySettings{Required: 1, Timeout: 20 * time.Millisecond}, "b")
+				takeOver(s, lostOwnerRecords(t, class.Name, attempts, int64(s.now)+12000, int64(s.now)-10, false), true, 0)
+				s.activateEntries("z", 9, nil, nil)
+				f.acknowledge = true
+				s.await("the message has no notice", func() bool { return len(s.notices) > 0 })
+				mayHaveRun := attempts == openAttempt || attempts == attemptMayHaveRun
+				mayReturn := class.Effect == policy.Safe || class.Effect == policy.Keyed && !class.ZoneScope
+				if n, want := <-s.notices, mayReturn || !mayHaveRun; n.Returned != want {
+					t.Errorf("returned %t, want %t", n.Returned, want)
+				}
+			})
+		}
+	}
+}
--- a/internal/sender/takeover.go
+++ b/internal/sender/takeover.go
@@ -159,8 +159,8 @@
 		n++
 		switch {
 		case e.Ending == journal.EndingNone && !e.Confirmed:
-			// Its client may have been refused: it is returned and never sent.
-			s.endWithNotice(e, journal.EndingReturned, 0)
+			// Its client may have been refused: it is never sent.
+			s.endWithNotice(e, s.unsentEnding(e), 0)
 		case e.Ending == journal.EndingNone && slices.Contains(keysElsewhere, keyHash([]byte(e.Key))):
 			s.endWithNotice(e, journal.EndingAbandoned, 0)
 		default:
