--- a/cmd/sliptide/cutoff_test.go
+++ b/cmd/sliptide/cutoff_test.go
@@ -221,3 +221,26 @@
 		t.Run(name, c.run)
 	}
 }
+
+// TestCutOffSenderReturnsNothingThatSuccessorRuns guards against messages that are returned to their clients and run: the
+// owner, cut off, uses up their attempts before its lease ends, and its successor sends them.
+func TestCutOffSenderReturnsNothingThatSuccessorRuns(t *testing.T) {
+	for name, class := range map[string]map[string]any{"unsafe": cutOffClass("unsafe", ""), "zone": cutOffClass("keyed", "zone")} {
+		for _, copies := range []string{copiesXML, copiesTakeXML} {
+			c := cutOffTest{class: class, copies: copies, maxAttempts: 2}
+			t.Run(fmt.Sprint(name, " take ", copies == copiesTakeXML), c.run)
+		}
+		c := cutOffTest{class: class, copies: copiesXML, maxAttempts: 2, whileCut: awaitReturnsAndRestart}
+		t.Run(name+" and restarted", c.run)
+	}
+}
+
+// awaitReturnsAndRestart waits until a member that is cut off has used up the attempts of its messages, and kills and
+// restarts it.
+func awaitReturnsAndRestart(m *testFleet, i int) {
+	m.await("the attempts of a message are used up", func() bool {
+		out, _, _ := runCommand(m.t, "journal", "show", "--json", m.rigs[i].stateDir)
+		return strings.Contains(out, `"handed_back"`)
+	})
+	restartCutOff(syscall.SIGKILL)(m, i)
+}
--- a/internal/fleet/copies/copies.go
+++ b/internal/fleet/copies/copies.go
@@ -228,7 +228,7 @@
 type Status struct {
 	LeaseHeld       bool   `json:"held"`    // the sender holds the lease on its own journal
 	Holders         []Lag  `json:"holders"` // the lag of each
-	Waiting         int    `json:"waiting"` // answers and calls that wait for acknowledgements
+	Waiting         int    `json:"waiting"` // answers, calls and notices that wait for acknowledgements
 	UnderReplicated uint64 `json:"short"`   // messages that too few holders acknowledged in time, since the start
 	RemainingBytes  int64  `json:"left"`    // still to be copied to holders that are not synced
 }
--- a/internal/sender/copies.go
+++ b/internal/sender/copies.go
@@ -311,6 +311,11 @@
 			c.waits[i].seq = max(seq, 1)
 		}
 	}
+	for i := range s.queuedNotices {
+		if s.queuedNotices[i].seq == 0 {
+			s.queuedNotices[i].seq = max(seq, 1)
+		}
+	}
 	return seq
 }
 
@@ -332,6 +337,7 @@
 	for i := range c.waits {
 		wait = min(wait, time.Until(c.waits[i].deadline))
 	}
+	wait = min(wait, fromMillis(min(s.nextOverdueNotice()-s.clock.Now(), 1e6)))
 	if at, due := s.avoided.NextExpiry(); due {
 		wait = min(wait, fromMillis(at-s.clock.Now()))
 	}
--- a/internal/sender/copystatus.go
+++ b/internal/sender/copystatus.go
@@ -19,7 +19,8 @@
 	} else {
 		c.nextStatus = now.Add(statusInterval)
 	}
-	st := copies.Status{LeaseHeld: c.leaseHeld, Holders: c.owner.Lags(fleet.Now()), UnderReplicated: c.shortCount}
+	st := copies.Status{LeaseHeld: c.leaseHeld, Holders: c.owner.Lags(fleet.Now()), UnderReplicated: c.shortCount,
+		Waiting: len(s.queuedNotices)}
 	for i := range c.waits {
 		st.Waiting += len(c.waits[i].submissions) + len(c.waits[i].calls)
 	}
--- a/internal/sender/observe.go
+++ b/internal/sender/observe.go
@@ -223,7 +223,7 @@
 		}
 		gauge(telemetry.CopiesLeaseHeld, held)
 		gauge(telemetry.CopiesLag, float64(c.owner.MaxLag()))
-		gauge(telemetry.CopiesBatchesWaiting, float64(len(c.waits)))
+		gauge(telemetry.CopiesBatchesWaiting, float64(len(c.waits)+len(s.queuedNotices)))
 		gauge(telemetry.CopiesMessagesShort, float64(c.shortCount))
 	}
 }
--- a/internal/sender/outcomes.go
+++ b/internal/sender/outcomes.go
@@ -3,14 +3,12 @@
 import (
 	"time"
 
-	"sliptide/internal/discovery"
-	"sliptide/internal/journal"
 	"sliptide/internal/outbound"
 	"sliptide/internal/telemetry"
 	"sliptide/policy"
 )
 
-// This file handles the ends of calls, attempts and messages, and sends notices.
+// This file handles the ends of calls, attempts and messages.
 
 // handleOutcome handles the end of a call and the outcomes of its attempts.
 func (s *Sender) handleOutcome(c *outbound.Call, events []policy.Event) {
@@ -100,16 +98,6 @@
 	}
 }
 
-func (s *Sender) handleAckedNotices(nums []uint64) {
-	for _, num := range nums {
-		if e := s.pendingNotices[num]; e != nil {
-			delete(s.pendingNotices, num)
-			s.observer.logNotice(e, "acknowledged", s.now)
-			s.journal.End(e, int64(s.now))
-		}
-	}
-}
-
 // complete ends a message that needs no notice.
 func (s *Sender) complete(m *message) {
 	s.journal.End(m.Entry, int64(s.now))
@@ -132,16 +120,3 @@
 	delete(s.messages, m.Num)
 	s.stormGuard.AdjustHeld(s.now, m.Dest, -1)
 }
-
-// endWithNotice ends an accepted message with a notice. Its journal entry is kept until the notice is accepted.
-func (s *Sender) endWithNotice(e *journal.Entry, ending int, retryAfterMS float64) {
-	s.journal.OweNotice(e, ending, int64(retryAfterMS))
-	s.pendingNotices[e.Num] = e
-	s.noteLateness(e)
-	s.observer.logNotice(e, "posted", s.now)
-	s.sendNotice(e)
-}
-
-func (s *Sender) sendNotice(e *journal.Entry) {
-	s.notify(discovery.Notice{Num: e.Num, Trace: e.Trace, Returned: e.Ending == journal.EndingReturned, RetryMS: e.RetryMS})
-}
--- a/internal/sender/overdue.go
+++ b/internal/sender/overdue.go
@@ -45,5 +45,5 @@
 	s.dropUnsent(m.call)
 	s.forget(m)
 	s.observeMessageEnd(m.Entry, observed, retryAfterMS)
-	s.endWithNotice(m.Entry, ending, retryAfterMS)
+	s.endInClass(m.Entry, s.settings.Classes[m.class], ending, retryAfterMS)
 }
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -132,6 +132,7 @@
 	listedDests     map[int]bool
 	destLimitLogged bool                          // the error about MaxDestinations has been logged
 	pendingNotices  map[uint64]*journal.Entry     // ended messages whose notice has not been accepted yet
+	queuedNotices   []queuedNotice                // of pendingNotices, those not sent yet
 	endpoints       map[uint32]discovery.Endpoint // in the state last listed, also as gone; regardless of disabled and avoided
 	endpointIDs     map[string]uint32             // of every endpoint that has been listed, by name
 	disabled        operate.DisabledSet
@@ -192,8 +193,7 @@
 		s.copies.pendingEntries[e.Num] = e
 		return
 	case e.Ending != journal.EndingNone: // ended; its notice may not have been accepted
-		s.pendingNotices[e.Num] = e
-		s.sendNotice(e)
+		s.resumeNotice(e)
 		return
 	case left <= 0:
 		s.endWithNotice(e, journal.EndingAbandoned, 0)
@@ -317,6 +317,7 @@
 		s.execute(&s.actions[i])
 	}
 	s.endOverdue()
+	s.releaseNotices()
 	err := s.journal.Flush()
 	s.handleFlushResult(err)
 	s.unlockIDs()
