Cut-off senders that are upgraded, hear nobody or are not heard, on processes

They now also upgrade the sender that is cut off, and block one direction of its links alone, so that holders get the record of an attempt and the acknowledgement is lost, or the reverse.

--- a/cmd/sliptide/cutoff_test.go
+++ b/cmd/sliptide/cutoff_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"slices"
@@ -10,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"sliptide/internal/standin"
 )
 
 // cutOffTest is a fleet of four, one of which is cut off from the others while it holds messages of a class whose
@@ -20,8 +23,17 @@
 	copies      string                        // the copies element
 	maxAttempts int                           // attempts of a message; 0: 100
 	whileCut    func(m *testFleet, owner int) // further trouble; nil: none
+	directions  linkDirections                // that the cut blocks; 0: both
 }
 
+// linkDirections is a set of directions of the links between the sender that is cut off and the others.
+type linkDirections uint8
+
+const (
+	toOwner linkDirections = 1 << iota
+	fromOwner
+)
+
 // cutOffOwner is the member that is cut off; it is no voter.
 const cutOffOwner = 3
 
@@ -118,7 +130,7 @@
 		ids = append(ids, id)
 	}
 	owner.mustSubmit("n3-5-last", 5, 15, "x") // copied after the confirmations of the others
-	m.setCutOff(cutOffOwner, true)
+	m.setCutOff(cutOffOwner, cmp.Or(c.directions, toOwner|fromOwner))
 	if left := time.Until(time.Unix(0, waitEnd.Load())); left <= 0 {
 		t.Fatalf("the wait ended %v before the cut", -left)
 	}
@@ -145,7 +157,7 @@
 			return n+runs[0]+runs[1] == 0
 		})
 	})
-	m.setCutOff(cutOffOwner, false)
+	m.setCutOff(cutOffOwner, 0)
 	owner.awaitLog("messages were taken over while this sender was away")
 	m.await("the sender accepts messages again", func() bool {
 		code, _ := m.submitTimed(cutOffOwner, fmt.Sprint("n3-again-", time.Now().UnixNano()), "x")
@@ -176,11 +188,16 @@
 	}
 }
 
-// setCutOff cuts a member off from all others, or connects it again.
-func (m *testFleet) setCutOff(i int, cut bool) {
+// setCutOff blocks these directions of the links between a member and all others, and unblocks the rest.
+func (m *testFleet) setCutOff(owner int, blocked linkDirections) {
 	for k, relay := range m.relays {
-		if k[0] == i || k[1] == i {
-			relay.BlockBoth(cut)
+		switch owner {
+		case k[0]:
+			relay.Block(standin.ToTarget, blocked&fromOwner != 0)
+			relay.Block(standin.FromTarget, blocked&toOwner != 0)
+		case k[1]:
+			relay.Block(standin.ToTarget, blocked&toOwner != 0)
+			relay.Block(standin.FromTarget, blocked&fromOwner != 0)
 		}
 	}
 }
@@ -206,6 +223,16 @@
 	}
 }
 
+// upgradeCutOff starts a new version of a member that is cut off, and stops the running one.
+func upgradeCutOff(m *testFleet, i int) {
+	r := m.rigs[i]
+	running, exited := r.proc, r.exited
+	r.launch()
+	m.await("the new version waits", func() bool { return strings.Count(r.logs.String(), `"started"`) == 2 })
+	running.Process.Signal(syscall.SIGTERM)
+	r.await(exited, "the old process ends")
+}
+
 // TestCutOffSenderKeepsZoneScope guards against keyed messages that run in two zones: the owner, cut off, sends them
 // before its lease ends, and its successor, which knows of no attempt, sends them to the other zone.
 func TestCutOffSenderKeepsZoneScope(t *testing.T) {
@@ -216,6 +243,9 @@
 		"three copies":                {copies: `<copies enabled="true" count="3" needed="1"/>`},
 		"owner killed and restarted":  {copies: copiesXML, whileCut: restartCutOff(syscall.SIGKILL)},
 		"owner stopped and restarted": {copies: copiesXML, whileCut: restartCutOff(syscall.SIGTERM)},
+		"owner upgraded":              {copies: copiesXML, whileCut: upgradeCutOff},
+		"owner hears nobody":          {copies: copiesXML, directions: toOwner},
+		"owner is not heard":          {copies: copiesXML, directions: fromOwner},
 	} {
 		c.class = cutOffClass("keyed", "zone")
 		t.Run(name, c.run)
