--- a/internal/sender/copies.go
+++ b/internal/sender/copies.go
@@ -20,11 +20,6 @@
 // after the journal has been written. Answers to clients, and calls that must not begin earlier, are queued until the
 // holders acknowledge the records. The sender's goroutine never blocks on this: acknowledgements arrive as inputs.
 
-// suspendedPace, in calls a second, suspends all calls while the lease on this sender's journal is lost: a call becomes
-// due about every 1000 s only, and MayStart, set by startCall, keeps it from being written. A pace of 0 would mean no
-// limit.
-const suspendedPace = 1e-3
-
 // placementInterval is the interval between checks of the placement of copies.
 const placementInterval = 50 * time.Millisecond
 
@@ -165,8 +160,8 @@
 	s.publishCopyStatus()
 }
 
-// checkOwnLease follows the lease on this sender's own journal: it begins an epoch when the lease is gained, and
-// suspends calls when it is lost.
+// checkOwnLease follows the lease on this sender's own journal: it begins an epoch when the lease is gained, and drops
+// the calls that have not begun when it is lost.
 func (s *Sender) checkOwnLease(view *fleet.View) {
 	c := s.copies
 	name := duty.JournalDuty(c.settings.Name)
@@ -178,7 +173,10 @@
 	held := view.Holds(d) && c.fleet.Token(name) == d.Token
 	if held != c.leaseHeld {
 		c.leaseHeld = held
-		s.suspendCalls(!held)
+		if !held {
+			s.dropWaitingCalls()
+		}
+		s.stepDue = true // waiting messages may be sent
 		if reason := TooFewHoldersReason; s.lacksLease() {
 			s.refusal.Store(&reason)
 		} else {
@@ -265,33 +263,18 @@
 	s.log.Info().Int("messages", n).Str("heir", a.By).Msg("copies: messages were taken over while this sender was away")
 }
 
-// suspendCalls suspends all calls, or lets them proceed.
-func (s *Sender) suspendCalls(on bool) {
-	pace := 0.0
-	if on {
-		pace = suspendedPace
-	}
-	for dest := range s.listedDests {
-		s.events = append(s.events, policy.Event{Kind: policy.EvPace, Dest: dest, Pace: pace})
-	}
-	for c := range s.calls { // unsent calls must not begin
-		if on && len(c.Items) > 0 {
+// dropWaitingCalls drops the calls with messages that have not begun.
+func (s *Sender) dropWaitingCalls() {
+	for c := range s.calls {
+		if len(c.Items) > 0 {
 			s.dropUnsent(c)
 		}
 	}
-	for id := range s.endpoints {
-		if s.hasOwnLimits(id) {
-			s.events = append(s.events, policy.Event{Kind: policy.EvPace, Dest: s.endpoints[id].Dest, Endpoint: id, Pace: pace})
-		}
-	}
 }
 
-// suspendListed suspends calls to newly listed destinations and endpoints while the lease is lost.
-func (s *Sender) suspendListed() {
-	if s.copies != nil && !s.copies.leaseHeld {
-		s.suspendCalls(true)
-	}
-}
+// mayAttempt reports whether attempts may begin: with copies only while the lease on this sender's journal is held.
+// Otherwise a successor may send the same messages.
+func (s *Sender) mayAttempt() bool { return s.copies == nil || s.copies.leaseHeld }
 
 // sendCopies sends the records of a step to the holders. It returns the number of their batch, 0 if there are
 // no records.
--- a/internal/sender/copies_test.go
+++ b/internal/sender/copies_test.go
@@ -1,6 +1,7 @@
 package sender
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -159,3 +160,32 @@
 		})
 	}
 }
+
+// Guards against calls of a sender that is back without its lease, whose messages a successor has or may have: no attempt
+// begins and none is used up, whatever pace storm control sets meanwhile. With the lease they are sent.
+func TestNoAttemptBeginsWithoutLease(t *testing.T) {
+	for _, acceptUncopied := range []bool{false, true} {
+		for i, class := range limitClasses() {
+			t.Run(fmt.Sprint(class.Name, " take ", acceptUncopied), func(t *testing.T) {
+				s := newTestSender(t, t.TempDir(), "", limitSettings())
+				s.listedDests[3] = true
+				s.submit("m", i, 15*time.Second)
+				s.runStep()
+				s = s.restartWith(limitSettings(), true)
+				f := prepareTestCopies(s, CopySettings{Required: 1, Timeout: 20 * time.Millisecond, AcceptUncopied: acceptUncopied})
+				addr, ids := newRecordingPartner(t)
+				s.listEndpoint(addr)
+				for range 5 {
+					s.events = append(s.events, policy.Event{Kind: policy.EvPace, Dest: 3, Pace: 1e9})
+					s.runStep()
+				}
+				if m := s.held("m"); m == nil || m.Attempts > 0 || len(s.calls) > 0 || len(ids) > 0 {
+					t.Fatalf("%+v, %d calls, want a message without an attempt", m, len(s.calls))
+				}
+				f.acknowledge = true
+				f.grantLease("b")
+				s.await("the message is not sent with the lease", func() bool { return len(ids) > 0 })
+			})
+		}
+	}
+}
--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -141,7 +141,6 @@
 	s.stormGuard.UpdateEndpoints(s.now, ev.List, ev.FullList)
 	s.events = append(s.events, ev)
 	s.honourListedWaits(ev.List)
-	s.suspendListed()
 	for c := range s.calls {
 		// An endpoint that is draining or gone must receive no new call; an unsent call is new.
 		if ready, named := listed[c.Endpoint]; !ready && (named || l.Full) {
--- a/internal/sender/holderwaits.go
+++ b/internal/sender/holderwaits.go
@@ -206,7 +206,7 @@
 func (s *Sender) startCall(call *outbound.Call) {
 	if c := s.copies; c != nil && len(call.Items) > 0 {
 		name, epoch := duty.JournalDuty(c.settings.Name), c.owner.Epoch()
-		call.MayStart = func() bool { return c.fleet.Token(name) == epoch }
+		call.MayStart = func() bool { return epoch != 0 && c.fleet.Token(name) == epoch }
 	}
 	s.pool.Go(call)
 }
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -310,7 +310,7 @@
 	s.releaseLeavingShards(false)
 	s.endExpiredAttempts()
 	s.applyStormThrottles()
-	s.module.SetHalted(s.journalFailed || s.sendingEnded())
+	s.module.SetHalted(s.journalFailed || s.sendingEnded() || !s.mayAttempt())
 	s.actions = s.module.Step(s.now, s.events, s.actions[:0])
 	s.events = s.events[:0]
 	for i := range s.actions {
