Takeover: an attempt at an unknown time leaves no dedup window

What callers would see: a keyed message is sent again after memory_span, by a successor whose clock disagrees with the lost owner's.

Cause: where the machines of all holders have restarted, times of the lost owner are read as times of the successor's machine, also that of an attempt, from which the window counts.

Change: such an attempt counts as one of long ago. The message is returned, or given up where its class forbids returning it.

--- a/internal/sender/successorknowledge.go
+++ b/internal/sender/successorknowledge.go
@@ -15,6 +15,9 @@
 //
 // Where a limit can matter to a successor, holders must have the record of an attempt before it begins.
 
+// longAgo is the earliest time of an attempt, in milliseconds of the sender's clock; 0 stands for no attempt.
+const longAgo = 1
+
 // mustAwaitHolders reports whether a call must not begin before the records of its messages are copied: if it has a
 // message whose acceptance is not confirmed yet, or one whose attempt a successor must know of.
 func (s *Sender) mustAwaitHolders(call *outbound.Call) bool {
@@ -85,7 +88,7 @@
 	}
 	if knownAt == 0 {
 		earliest := min(e.Deadline-int64(class.Deadline), int64(s.now))
-		e.MayHaveRunAt = max(earliest, 1) // 0 stands for none
+		e.MayHaveRunAt = max(earliest, longAgo)
 	}
 	return true
 }
--- a/internal/sender/takeover.go
+++ b/internal/sender/takeover.go
@@ -29,16 +29,16 @@
 }
 
 // clockOffsets returns the offsets, in milliseconds, that convert times of the owner's clock to this sender's.
-// Deadlines err on the early side, waits on the late side. If no holder knows the owner's clock, the clocks are assumed
-// to agree, as after a restart of the same machine.
-func (s *Sender) clockOffsets(t *takeover) (deadlines, waits int64) {
+// Deadlines err on the early side, waits on the late side. If no holder knows the owner's clock, known is false, and the
+// clocks are assumed to agree.
+func (s *Sender) clockOffsets(t *takeover) (deadlines, waits int64, known bool) {
 	upper, lower, known := t.ClockOffsets()
 	if !known {
 		s.log.Warn().Str("owner", t.Owner).Msg("copies: no holder knows the lost sender's clock: its times are read as times of this machine's clock")
-		return 0, 0
+		return 0, 0, false
 	}
 	own := int64(s.clock.Now()) - fleet.Now()/1e6
-	return own - upper, own - lower
+	return own - upper, own - lower, true
 }
 
 // stepTakeovers starts and advances the takeovers of lost owners whose duties this member holds.
@@ -79,7 +79,7 @@
 func (s *Sender) importEntries(t *takeover, d *pb.Duty) {
 	c := s.copies
 	t.Stage, t.entryNums = copies.Copying, nil
-	deadlineOffset, waitOffset := s.clockOffsets(t)
+	deadlineOffset, waitOffset, clockKnown := s.clockOffsets(t)
 	view := c.fleet.View()
 	var keys []uint64
 	suspected := 0
@@ -95,6 +95,9 @@
 		if !t.Complete(c.requiredFor(e.Class)) && s.assumeAttempt(e) {
 			suspected++
 		}
+		if e.MayHaveRunAt != 0 && !clockKnown {
+			e.MayHaveRunAt = longAgo // the dedup window may be over
+		}
 		s.journal.Accept(e)
 		c.pendingEntries[e.Num] = e
 		t.entryNums = append(t.entryNums, e.Num)
