Ledger: a wait requested of a sender that is back does not bind its earlier messages

Trace: n1 was lost at 40.364 s, n3 took over its message note-1-450; n1 was back, was told a wait at 45.443 s and was lost again at 46.566 s; n3 called for the old message 50 ms later, far less than a lease. Nothing tells n3 of that wait, and the rule binds the instance that was told it.

The check compared the wait with any message of that sender. Now it is compared with those submitted in the same run of the sender, which it still binds at every successor.

Measured: the new case of TestEachViolationIsFound fails without the change.

--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -24,6 +24,7 @@
 // message is the history of one message.
 type message struct {
 	origin      int // the sender that it was submitted to
+	originRun   int // that sender's losses before
 	unsafe      bool
 	deadline    time.Time // zero: its client did not get a 202
 	refused     bool
@@ -36,6 +37,8 @@
 // sender is the state of one sender.
 type sender struct {
 	waitSetAt, waitUntil time.Time       // start and end of the last requested wait
+	waitRun              int             // losses before that wait
+	losses               int             // of its machine
 	lostAt, killedAt     time.Time       // when its machine was lost, and when its process was killed
 	unfinished           map[string]bool // accepted messages without an end at its loss, less those ended since
 	successorCalled      bool            // its successor has made a call since the loss, or none is expected
@@ -94,7 +97,7 @@
 func (l *Ledger) Submitted(id string, origin int, unsafe bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.messages[id] = &message{origin: origin, unsafe: unsafe}
+	l.messages[id] = &message{origin: origin, originRun: l.sender(origin).losses, unsafe: unsafe}
 }
 
 // Answered records the answer to the client: a 202 with the deadline of the message, or a refusal. The message must
@@ -137,8 +140,9 @@
 		l.verdict.FirstCalls = append(l.verdict.FirstCalls, ms(now.Sub(origin.lostAt)))
 	}
 	// Counts only a wait that was requested long enough before the loss to have been copied. A kill of the process
-	// within CrossingSlack after the request may have ended the wait.
-	if now.Before(origin.waitUntil) && origin.lostAt.Sub(origin.waitSetAt) > CrossingSlack &&
+	// within CrossingSlack after the request may have ended the wait. One who has a message since an earlier loss of its
+	// sender does not know what that sender was asked after its return.
+	if now.Before(origin.waitUntil) && m.originRun == origin.waitRun && origin.lostAt.Sub(origin.waitSetAt) > CrossingSlack &&
 		(origin.killedAt.Before(origin.waitSetAt) || origin.killedAt.Sub(origin.waitSetAt) > CrossingSlack) {
 		l.verdict.SentInWait++
 		l.addViolation("%s: called by n%d, the successor of n%d, %v before the end of the latter's wait, requested %v before its loss",
@@ -174,7 +178,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if s := l.sender(by); !s.lostAt.After(callStart) && !s.killedAt.After(callStart) {
-		s.waitSetAt, s.waitUntil = now, waitUntil
+		s.waitSetAt, s.waitUntil, s.waitRun = now, waitUntil, s.losses
 	}
 }
 
@@ -209,6 +213,7 @@
 	defer l.mu.Unlock()
 	lost := l.sender(num)
 	lost.lostAt, lost.unfinished = now, map[string]bool{}
+	lost.losses++
 	for id, m := range l.messages {
 		if m.origin == num && !m.deadline.IsZero() && m.firstEnd.IsZero() {
 			lost.unfinished[id] = true
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -99,6 +99,13 @@
 			l.SenderLost(at(200), 1, nil)
 			call(l, 2, 1500)
 		}, func(v Verdict) bool { return v.SentInWait == 1 && len(v.FirstCalls) == 1 }, false},
+		{"a wait requested of the sender that is back, whose earlier message a successor has", func(l *Ledger) {
+			accept(l, false)
+			l.SenderLost(at(200), 1, nil)
+			l.WaitRequested(at(800), 1, at(780), at(2000))
+			l.SenderLost(at(1400), 1, nil)
+			call(l, 2, 1500)
+		}, func(v Verdict) bool { return v.BySuccessors == 1 }, true},
 		{"a wait requested while the machine is lost", func(l *Ledger) {
 			accept(l, false)
 			l.SenderLost(at(200), 1, nil)
