--- a/internal/sender/takeover.go
+++ b/internal/sender/takeover.go
@@ -19,6 +19,9 @@
 // released to another member.
 const releaseDelay = int64(2 * time.Second)
 
+// importTimeout limits the wait until the entries of a takeover are copied.
+const importTimeout = time.Second
+
 // journalOwner returns the owner from the name of a journal's duty; empty if the name has none. It does not check that
 // the name is of a journal's duty.
 func journalOwner(name string) string {
@@ -28,17 +31,30 @@
 	return ""
 }
 
-// clockOffsets returns the offsets, in milliseconds, that convert times of the owner's clock to this sender's.
-// Deadlines err on the early side, waits on the late side. If no holder knows the owner's clock, known is false, and the
-// clocks are assumed to agree.
-func (s *Sender) clockOffsets(t *takeover) (deadlines, waits int64, known bool) {
+// clockOffsets are offsets, in milliseconds, that convert times of a lost owner's clock to this sender's. They differ by
+// the uncertainty of the owner's clock: deadlines err on the early side, waits on the late side.
+type clockOffsets struct {
+	deadlines, waits int64
+	known            bool // a holder knows the owner's clock; otherwise the clocks are assumed to agree
+}
+
+// clockOffsets returns the offsets for a takeover.
+func (s *Sender) clockOffsets(t *takeover) clockOffsets {
 	upper, lower, known := t.ClockOffsets()
 	if !known {
 		s.log.Warn().Str("owner", t.Owner).Msg("copies: no holder knows the lost sender's clock: its times are read as times of this machine's clock")
-		return 0, 0, false
+		return clockOffsets{}
 	}
 	own := int64(s.clock.Now()) - fleet.Now()/1e6
-	return own - upper, own - lower, true
+	return clockOffsets{deadlines: own - upper, waits: own - lower, known: true}
+}
+
+// convertTimes converts the times of an entry. An attempt counts from its earliest possible time.
+func (o clockOffsets) convertTimes(e *journal.Entry) {
+	e.Deadline += o.deadlines
+	if e.MayHaveRunAt != 0 {
+		e.MayHaveRunAt += o.deadlines
+	}
 }
 
 // stepTakeovers starts and advances the takeovers of lost owners whose duties this member holds.
@@ -79,7 +95,7 @@
 func (s *Sender) importEntries(t *takeover, d *pb.Duty) {
 	c := s.copies
 	t.Stage, t.entryNums = copies.Copying, nil
-	deadlineOffset, waitOffset, clockKnown := s.clockOffsets(t)
+	offsets := s.clockOffsets(t)
 	view := c.fleet.View()
 	var keys []uint64
 	suspected := 0
@@ -88,14 +104,11 @@
 			continue // the lost owner was itself taking it over, and the fleet had not agreed
 		}
 		e.Num, e.TakeoverDuty, e.TakeoverToken = s.journal.NextNumber(), d.Name, d.Token
-		e.Deadline += deadlineOffset
-		if e.MayHaveRunAt != 0 {
-			e.MayHaveRunAt += deadlineOffset
-		}
+		offsets.convertTimes(e)
 		if !t.Complete(c.requiredFor(e.Class)) && s.assumeAttempt(e) {
 			suspected++
 		}
-		if e.MayHaveRunAt != 0 && !clockKnown {
+		if e.MayHaveRunAt != 0 && !offsets.known {
 			e.MayHaveRunAt = longAgo // the dedup window may be over
 		}
 		s.journal.Accept(e)
@@ -105,22 +118,31 @@
 			keys = append(keys, k)
 		}
 	}
-	s.importHolds(t, waitOffset)
+	s.importHolds(t, offsets.waits)
 	if suspected > 0 {
 		s.log.Warn().Str("owner", t.Owner).Int("messages", suspected).Msg("copies: holders that may know of attempts are unreachable: messages whose class limits repeats count as sent already")
 	}
 	s.stepDue = true // this step writes and copies the entries, to fewer holders if fewer members are left
-	c.waits = append(c.waits, holderWait{required: max(min(c.maxRequired(), len(c.fleet.View().Present)-1), 0), deadline: time.Now().Add(time.Second), done: func(acknowledged bool) {
-		if !acknowledged {
-			s.abandonTakeover(t)
-			return
-		}
-		t.Stage = copies.Adopting
-		adopt := &pb.Adopt{Session: d.Session, Duty: d.Name, Token: d.Token, Incarnation: t.LongestCopy.Incarnation, Upto: t.LongestCopy.Upto, Keys: keys}
-		c.fleet.Propose(&pb.Command{What: &pb.Command_Adopt{Adopt: adopt}}, func(a *pb.Answer, err error) {
-			s.enqueueCopyInput(copyInput{run: func() { s.handleAdoption(t, a.GetKeys(), err) }})
-		})
-	}})
+	c.waits = append(c.waits, holderWait{
+		required: max(min(c.maxRequired(), len(c.fleet.View().Present)-1), 0),
+		deadline: time.Now().Add(importTimeout),
+		done: func(acknowledged bool) {
+			if !acknowledged {
+				s.abandonTakeover(t)
+				return
+			}
+			s.proposeAdoption(t, d, keys)
+		},
+	})
+}
+
+// proposeAdoption asks the fleet to agree to the adoption of the imported entries, whose clients' keys are keys.
+func (s *Sender) proposeAdoption(t *takeover, d *pb.Duty, keys []uint64) {
+	t.Stage = copies.Adopting
+	adopt := &pb.Adopt{Session: d.Session, Duty: d.Name, Token: d.Token, Incarnation: t.LongestCopy.Incarnation, Upto: t.LongestCopy.Upto, Keys: keys}
+	s.copies.fleet.Propose(&pb.Command{What: &pb.Command_Adopt{Adopt: adopt}}, func(a *pb.Answer, err error) {
+		s.enqueueCopyInput(copyInput{run: func() { s.handleAdoption(t, a.GetKeys(), err) }})
+	})
 }
 
 // abandonTakeover abandons an attempt at a takeover. A new one begins if the duty is still held.
