--- a/cmd/sliptide/losses_test.go
+++ b/cmd/sliptide/losses_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -29,12 +30,60 @@
 	rng       *rand.Rand // draws the partner's faults
 	history   []string   // injected events with their times
 	startedAt time.Time
-	maxBatch  int // most messages in one call
+	maxBatch  int               // most messages in one call
+	effects   map[string][2]int // how often each message took effect in each zone
+	returned  map[string]bool   // messages that were returned to their clients
+	atLimit   map[int]bool      // senders of whom the partner requests a wait at their next call
 }
 
-// serve handles the partner's calls from sender i, with one message or several in each. Some calls fail, some end
+// Classes of the messages, by which their IDs begin.
+const (
+	classRepeatable = "note" // keyed; all endpoints drop repeats
+	classUnsafe     = "pay"
+	classZone       = "zone" // keyed; the endpoints of one zone drop repeats
+)
+
+// addZones adds a second zone, with an endpoint of the partner in each, and classZone to a sender's settings.
+func (l *lossRun) addZones(i int, r *rig, kind string) {
+	settings := r.config["settings"].(map[string]any)
+	settings["areas"] = []string{"a", "b"}
+	settings["services"] = append(settings["services"].([]any), map[string]any{"name": classZone, "aim": 4000, "deadline": 20000, "effect": "keyed",
+		"key_scope": "zone", "memory_span": 20000, "worth": 1, "late_worth": 0.4})
+	for k := range r.endpoints {
+		if r.endpoints[k].ID == "p-5" {
+			r.endpoints = slices.Delete(r.endpoints, k, k+1)
+			break
+		}
+	}
+	for zone, name := range []string{"a", "b"} {
+		e := r.endpointWithHandler("p-loss-"+name, 5, func(w http.ResponseWriter, q *http.Request) { l.serve(i, zone, w, q) })
+		e.Zone, e.Kind = name, kind
+		r.endpoints = append(r.endpoints, e)
+	}
+	r.config["known"] = map[string]any{"version": 1, "full": true, "servers": r.endpoints}
+}
+
+// conflictingEnds returns the messages that ran in both zones although their class forbids that, and those that ran and
+// were returned to their clients although their class forbids that.
+func (l *lossRun) conflictingEnds() (list []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, n := range l.effects {
+		class, _, _ := strings.Cut(id, "-")
+		if class == classZone && n[0] > 0 && n[1] > 0 {
+			list = append(list, id+" took effect in both zones")
+		}
+		if class != classRepeatable && l.returned[id] && n[0]+n[1] > 0 {
+			list = append(list, id+" took effect and was returned")
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// serve handles calls from sender i to the partner's endpoint in a zone, with one message or several in each. Some calls fail, some end
 // without an answer after they took effect, and some request a wait.
-func (l *lossRun) serve(i int, w http.ResponseWriter, q *http.Request) {
+func (l *lossRun) serve(i, zone int, w http.ResponseWriter, q *http.Request) {
 	body, _ := io.ReadAll(q.Body)
 	var ids []string
 	bulk := q.URL.Path == "/inbox/bulk"
@@ -56,11 +105,24 @@
 	l.mu.Lock()
 	l.maxBatch = max(l.maxBatch, len(ids))
 	chance := l.rng.IntN(1000)
+	atLimit := l.atLimit[i]
+	delete(l.atLimit, i)
 	l.mu.Unlock()
+	if atLimit {
+		for _, id := range ids {
+			l.ledger.CallStarted(began, i, id)
+			l.ledger.CallEnded(time.Now(), id, false)
+		}
+		l.ledger.WaitRequested(time.Now(), i, began, time.Now().Add(shortWait))
+		w.Header().Set("Retry-After", fmt.Sprint(shortWait.Seconds()))
+		w.WriteHeader(429)
+		return
+	}
 	for _, id := range ids {
 		l.ledger.CallStarted(began, i, id)
 		if chance >= 45 {
 			l.ledger.TookEffect(began, id)
+			l.countEffect(id, zone)
 		}
 	}
 	time.Sleep(20 * time.Millisecond)
@@ -89,10 +151,40 @@
 	}
 }
 
-// requestedWait is the wait that the partner requests.
-const requestedWait = 1500 * time.Millisecond
+func (l *lossRun) countEffect(id string, zone int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := l.effects[id]
+	n[zone]++
+	l.effects[id] = n
+}
+
+// requestedWait is the wait that the partner requests. shortWait, for which it asks a sender that is about to be cut off,
+// ends before that sender's lease.
+const (
+	requestedWait = 1500 * time.Millisecond
+	shortWait     = 600 * time.Millisecond
+)
 
-// submitMessages submits messages of both classes in turn at one sender, until stop is closed.
+// cutOffHoldingMessages makes a sender hold messages for shortWait, and cuts it off from the fleet, but not from the
+// partner, in the middle of it. It returns when the wait is over and the sender's lease about to end.
+func (l *lossRun) cutOffHoldingMessages(k int) {
+	l.mu.Lock()
+	l.atLimit[k] = true
+	l.mu.Unlock()
+	l.await("the partner has requested a wait", func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return !l.atLimit[k]
+	})
+	time.Sleep(shortWait / 2) // messages are accepted
+	l.record("n%d is cut off, holding messages", k)
+	l.ledger.SenderUnreachable(time.Now(), k, l.takenOver(k))
+	l.setCutOff(k, toOwner|fromOwner)
+	time.Sleep(shortWait)
+}
+
+// submitMessages submits messages of all classes in turn at one sender, until stop is closed.
 func (l *lossRun) submitMessages(i int, stop <-chan struct{}) {
 	for n := 0; ; n++ {
 		select {
@@ -100,12 +192,9 @@
 			return
 		case <-time.After(60 * time.Millisecond):
 		}
-		class, expiresIn := "note", 8.0
-		if n%2 == 1 {
-			class = "pay"
-		}
+		class, expiresIn := [...]string{classRepeatable, classUnsafe, classZone}[n%3], 8.0
 		id := fmt.Sprintf("%s-%d-%d", class, i, n)
-		l.ledger.Submitted(id, i, class == "pay")
+		l.ledger.Submitted(id, i, class == classUnsafe)
 		q, _ := http.NewRequest("POST", "http://"+l.rigs[i].addr+"/api", strings.NewReader("two guests, one night"))
 		for k, v := range map[string]string{"X-Trace-Id": id, "X-Qos": class, "X-Customer": "acme", "Idempotency-Key": "key-" + id,
 			"X-Expires-In": strconv.FormatFloat(expiresIn, 'f', 3, 64), "X-Route-To": "dest=5"} {
@@ -140,24 +229,26 @@
 
 // runLosses takes one fleet through n losses of a machine.
 func runLosses(t *testing.T, n int, seed uint64) {
-	l := &lossRun{rng: rand.New(rand.NewPCG(seed, 24)), ledger: ledger.New()}
+	l := &lossRun{rng: rand.New(rand.NewPCG(seed, 24)), ledger: ledger.New(), effects: map[string][2]int{}, returned: map[string]bool{}, atLimit: map[int]bool{}}
 	needsTwo := seed/lossesPerFleet%2 == 1 // every second fleet needs two copies, and loses two machines at once
 	l.startedAt = time.Now()
-	l.testFleet = newTestFleetWith(t, fmt.Sprintf(`<copies enabled="true" count="2" needed="%d"/>`, map[bool]int{false: 1, true: 2}[needsTwo]), 5, (*testFleet).connectByRelays)
-	for i, r := range l.rigs {
-		r.updateList(func() {
-			p := r.endpointWithHandler("p-loss", 5, func(w http.ResponseWriter, q *http.Request) { l.serve(i, w, q) })
-			if needsTwo { // and its partner accepts several messages in a call
-				p.Kind = "bulk"
-			}
-			for i := range r.endpoints {
-				if r.endpoints[i].ID == "p-5" {
-					r.endpoints[i] = p
-				}
-			}
-		})
+	kind := "one"
+	if needsTwo { // and its partner accepts several messages in a call
+		kind = "bulk"
+	}
+	copiesXML := fmt.Sprintf(`<copies enabled="true" count="2" needed="%d"/>`, map[bool]int{false: 1, true: 2}[needsTwo])
+	l.testFleet = newTestFleetWith(t, copiesXML, 5, func(m *testFleet, i int, r *rig) {
+		m.connectByRelays(i, r)
+		l.addZones(i, r, kind)
+	})
+	l.onNotice = func(e timedNotice) {
+		l.ledger.NoticeReceived(e.at, e.Message)
+		if e.Outcome == "handed_back" {
+			l.mu.Lock()
+			l.returned[e.Message] = true
+			l.mu.Unlock()
+		}
 	}
-	l.onNotice = func(e timedNotice) { l.ledger.NoticeReceived(e.at, e.Message) }
 	stop := make(chan struct{})
 	l.consumeReports(stop)
 	l.awaitAccepting()
@@ -166,6 +257,7 @@
 		clients.Go(func() { l.submitMessages(i, stop) })
 	}
 	rng := rand.New(rand.NewPCG(seed, 25)) // the partner has its own source
+	cuts := rand.New(rand.NewPCG(seed, 26))
 	counts := map[string]int{}
 	for i := 0; i < n; {
 		time.Sleep(time.Duration(200+rng.IntN(600)) * time.Millisecond) // under load, between two faults
@@ -182,9 +274,17 @@
 		healed := make(chan struct{})
 		heal := l.startFault(rng, counts, maxFault)
 		go func() { heal(); close(healed) }()
+		cutFirst := cuts.IntN(3) == 0
+		if cutFirst {
+			l.cutOffHoldingMessages(lost[0])
+		}
 		for _, k := range lost {
 			l.loseMachine(k)
 		}
+		if cutFirst {
+			counts["cut off before the loss"]++
+			l.setCutOff(lost[0], 0)
+		}
 		i += len(lost)
 		if !needsTwo && rng.IntN(4) == 0 {
 			l.killSuccessor(rng, lost[0], counts)
@@ -231,6 +331,10 @@
 			t.Errorf("a copy differed from its owner's journal:\n%s", r.logs.String())
 		}
 	}
+	if conflicts := l.conflictingEnds(); len(conflicts) > 0 {
+		t.Logf("%s\n%s", history, strings.Join(conflicts, "\n"))
+		t.Error("messages ran in two zones, or ran and were returned")
+	}
 	if v.Violated() {
 		t.Logf("%s\n%s", history, strings.Join(v.Violations, "\n"))
 		t.Error("the delivery guarantees are violated")
