TestGoAwayTwice waits until its requests are written before the connection ends

Cause: the test sent GOAWAY and closed the connection without waiting for its requests. A request whose last byte is not written when its connection ends has never run, rightly; under load the writing goroutine had not run yet.

Change: the test waits until the partner has received all four requests. What it asks of the outcomes is unchanged, and it now always asks it of requests that were written.

--- a/internal/h2/h2_test.go
+++ b/internal/h2/h2_test.go
@@ -175,13 +175,20 @@
 // The first GOAWAY names all streams, the second the actual last one: streams after it end as GoneAway, streams up
 // to it continue.
 func TestGoAwayTwice(t *testing.T) {
-	p := startPartner(t, &standin.H2Partner{Handler: func(r *standin.Request) standin.Reply { return standin.Reply{NoAnswer: true} }})
+	received := make(chan struct{}, 4)
+	p := startPartner(t, &standin.H2Partner{Handler: func(r *standin.Request) standin.Reply {
+		received <- struct{}{}
+		return standin.Reply{NoAnswer: true}
+	}})
 	c := dial(t, p.Addr(), testOptions)
 	var results []<-chan h2.Result
 	for i := range 4 {
 		_, result := startRequest(t, c, fmt.Sprint(i), "x")
 		results = append(results, result)
 	}
+	for range 4 { // a request that is not written yet when its connection ends has never run
+		<-received
+	}
 	p.WriteFrames(func(fr *http2.Framer) { fr.WriteGoAway(1<<31-1, http2.ErrCodeNo, nil) })
 	for !c.State().Draining {
 		runtime.Gosched()
